--- /dev/null
+++ b/geraniumwell/actors/batch/catalog_keeper.py
@@ -0,0 +1,90 @@
+"""Actor that keeps the configuration in force on this daemon."""
+
+from collections.abc import Callable
+from typing import Any
+
+from pykka import ActorRef, ThreadingActor
+
+from geraniumwell.actors.batch.telling import tell
+from geraniumwell.codec.json import CodecError
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.messages.batch import (
+    AskBatchReadiness,
+    AskCatalog,
+    CatalogChanged,
+    CatalogSubscription,
+    TableChanged,
+    TableReset,
+    TableSilent,
+)
+from geraniumwell.model.batch.catalog import Catalog
+from geraniumwell.util.clock import steady_seconds
+
+# A daemon that has not heard the store for this long can't take jobs.
+READY_CONTACT_SECONDS = 3.0
+
+
+class CatalogKeeper(ThreadingActor):
+    """Moves to each higher version of the configuration, never to a lower one.
+
+    Parameters
+    ----------
+    key : str
+        Key of the configuration in its table.
+    decode : callable
+        Returns the configuration in the bytes of the row; raises CodecError.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, key: str, decode: Callable[[bytes], Catalog]) -> None:
+        super().__init__()
+        self._key = key
+        self._decode = decode
+        self._catalog: Catalog | None = None
+        self._heard_at = 0.0
+        self._is_silent = True
+        self._subscribers: list[ActorRef] = []
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case TableReset(_, rows) | TableChanged(_, rows):
+                self._note_contact()
+                for row in rows:
+                    if row.key == self._key and not row.is_deleted:
+                        self._take(row.value)
+            case TableSilent(table, code):
+                if not self._is_silent:
+                    self._is_silent = True
+                    EVENTS.write("dependency_lost", name=f"table {table}", code=code)
+            case AskCatalog():
+                return self._catalog
+            case AskBatchReadiness():
+                age = steady_seconds() - self._heard_at
+                return self._catalog is not None and age < READY_CONTACT_SECONDS
+            case CatalogSubscription(subscriber):
+                self._subscribers.append(subscriber)
+                if self._catalog is not None:
+                    tell(subscriber, CatalogChanged(self._catalog))
+        return None
+
+    def _note_contact(self) -> None:
+        self._heard_at = steady_seconds()
+        if self._is_silent:
+            self._is_silent = False
+            EVENTS.write("dependency_found", name="configuration table")
+
+    def _take(self, value: bytes) -> None:
+        try:
+            catalog = self._decode(value)
+        except CodecError as exc:
+            EVENTS.write("configuration_unreadable", detail=str(exc))
+            return
+        if self._catalog is not None and catalog.version <= self._catalog.version:
+            return
+        self._catalog = catalog
+        EVENTS.write("configuration", version=catalog.version)
+        self._subscribers = [ref for ref in self._subscribers if ref.is_alive()]
+        for subscriber in self._subscribers:
+            tell(subscriber, CatalogChanged(catalog))
--- /dev/null
+++ b/geraniumwell/actors/batch/elector.py
@@ -0,0 +1,155 @@
+"""Actor that decides whether this daemon schedules."""
+
+from typing import Any
+
+from pykka import ActorRef, ThreadingActor
+
+from geraniumwell.actors.batch.scheduler import Scheduler, SchedulerParts
+from geraniumwell.actors.batch.telling import tell
+from geraniumwell.clients.table import (
+    Committed,
+    Condition,
+    RowWrite,
+    StoreError,
+    TableTransaction,
+)
+from geraniumwell.codec.batch import decode_leader, encode_leader
+from geraniumwell.codec.json import CodecError
+from geraniumwell.commands.batch.leadership import (
+    WATCH_SECONDS,
+    Observation,
+    make_claim,
+    may_claim,
+    observe,
+)
+from geraniumwell.const import LEADER_KEY, TABLE_CONTROL
+from geraniumwell.helpers.batch_metrics import CLAIMS, IS_SCHEDULING
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.messages.batch import (
+    AskPending,
+    CatalogChanged,
+    Claim,
+    Deposed,
+    Retire,
+)
+from geraniumwell.messages.serving import Tick
+from geraniumwell.model.batch.catalog import Catalog
+from geraniumwell.model.batch.leader import LeaderRow
+from geraniumwell.util.clock import steady_seconds
+
+
+class Elector(ThreadingActor):
+    """Watches the claim of the scheduling daemon and claims it when it is free.
+
+    Parameters
+    ----------
+    holder : str
+        Name of this daemon, different at each start.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, holder: str, parts: SchedulerParts) -> None:
+        super().__init__()
+        self._holder = holder
+        self._parts = parts
+        self._client = parts.make_store()
+        self._seen = Observation()
+        self._catalog: Catalog | None = None
+        self._scheduler: ActorRef | None = None
+        self._is_retiring = False
+
+    def on_start(self) -> None:
+        """Begin to watch."""
+        tell(self.actor_ref, Tick("watch"))
+
+    def on_stop(self) -> None:
+        """Stop scheduling; the claim lapses by itself."""
+        if self._scheduler is not None:
+            self._scheduler.stop(block=False)
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case Tick():
+                self._watch()
+                self._parts.ticker.tick_after(WATCH_SECONDS, self.actor_ref, "watch")
+            case CatalogChanged(catalog):
+                self._catalog = catalog
+                if self._scheduler is not None:
+                    tell(self._scheduler, message)
+            case Deposed(epoch, reason):
+                self._step_down(epoch, reason)
+            case Retire():
+                self._is_retiring = True
+                if self._scheduler is not None:
+                    tell(self._scheduler, message)
+            case AskPending():
+                return self._find_pending()
+        return None
+
+    def _find_pending(self) -> dict[str, int]:
+        if self._scheduler is not None and self._scheduler.is_alive():
+            return self._scheduler.ask(AskPending(), timeout=1.0)
+        return self._seen.row.pending if self._seen.row else {}
+
+    def _step_down(self, epoch: int, reason: str) -> None:
+        EVENTS.write("claim_ended", epoch=epoch, reason=reason)
+        CLAIMS.labels("ended").inc()
+        IS_SCHEDULING.set(0)
+        self._scheduler = None
+        self._seen = Observation()
+
+    def _watch(self) -> None:
+        if self._scheduler is not None or self._catalog is None:
+            return
+        now = steady_seconds()
+        try:
+            self._read(now)
+            if not self._is_retiring and may_claim(self._seen, now):
+                self._claim(now)
+        except StoreError as exc:
+            EVENTS.write("claim_unreadable", code=exc.code, detail=str(exc))
+
+    def _read(self, now: float) -> None:
+        rows = self._client.read(TABLE_CONTROL, LEADER_KEY, limit=1).rows
+        found = next((row for row in rows if row.key == LEADER_KEY), None)
+        if found is None:
+            observe(self._seen, None, 0, now)
+            return
+        try:
+            row = decode_leader(found.value)
+        except CodecError as exc:
+            # The row is replaced by the next claim, whose epoch must be higher.
+            EVENTS.write("row_unreadable", key=LEADER_KEY, detail=str(exc))
+            row = LeaderRow("", found.version, 0, {})
+        observe(self._seen, row, found.version, now)
+
+    def _claim(self, now: float) -> None:
+        before = self._seen.row
+        row = make_claim(self._seen, self._holder)
+        if before is not None and before.holder == self._holder:
+            # An earlier claim of this daemon whose answer was lost.
+            EVENTS.write("claim_found", epoch=before.epoch)
+        transaction = TableTransaction(
+            (Condition(TABLE_CONTROL, LEADER_KEY, self._seen.version),),
+            (RowWrite(TABLE_CONTROL, LEADER_KEY, encode_leader(row)),),
+        )
+        result = self._client.commit(transaction)
+        if not isinstance(result, Committed):
+            CLAIMS.labels("lost").inc()
+            return
+        CLAIMS.labels("won").inc()
+        IS_SCHEDULING.set(1)
+        age = round(now - self._seen.changed_at, 3)
+        EVENTS.write(
+            "claim_won",
+            epoch=row.epoch,
+            before=before.holder if before else "",
+            unchanged_seconds=age,
+        )
+        assert self._catalog is not None
+        claim = Claim(row, result.version, now)
+        self._scheduler = Scheduler.start(
+            claim, self._catalog, self._parts, self.actor_ref
+        )
--- /dev/null
+++ b/geraniumwell/actors/batch/fleet.py
@@ -0,0 +1,133 @@
+"""Links to the workers, and when each worker is looked at."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pykka import ActorRef
+
+from geraniumwell.actors.batch.telling import tell
+from geraniumwell.actors.batch.worker_links import LookLink, OrderLink
+from geraniumwell.clients.task_worker import Look, TaskWorkerClient
+from geraniumwell.commands.batch.leases import extend_lease
+from geraniumwell.messages.batch import SendLook, SendStart, SendStop
+from geraniumwell.model.batch.cluster import Cluster, StartTask, StopTask
+from geraniumwell.model.batch.worker import Worker, WorkerState
+
+MakeClient = Callable[[str, str], TaskWorkerClient]
+# The longest time that a worker waits for an end before it answers.
+LOOK_WAIT_MS = 2_000
+# A worker that did not answer is looked at again after this time.
+SILENT_RETRY_SECONDS = 0.4
+# A run that should not be there takes up to the limit of a stop to end.
+FOREIGN_RETRY_SECONDS = 0.25
+
+
+@dataclass(slots=True)
+class Links:
+    """The two connections to a worker; made when first used."""
+
+    address: str
+    orders: ActorRef | None = None
+    looks: ActorRef | None = None
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All links of one scheduler.
+
+    Parameters
+    ----------
+    owner : ActorRef
+        The scheduler, which gets all answers.
+    """
+
+    epoch: int
+    owner: ActorRef
+    make_client: MakeClient
+    links: dict[str, Links] = field(default_factory=dict)
+
+    def close(self) -> None:
+        """Stop all links; calls in progress end by themselves."""
+        for worker_id in list(self.links):
+            self.drop(worker_id)
+
+    def drop(self, worker_id: str) -> None:
+        """Stop the links to one worker."""
+        links = self.links.pop(worker_id, None)
+        if links is None:
+            return
+        for link in (links.orders, links.looks):
+            if link is not None:
+                link.stop(block=False)
+
+    def send_start(
+        self, cluster: Cluster, order: StartTask, send_by: float, now: float
+    ) -> None:
+        """Send a start with the longest lease."""
+        worker = cluster.workers[order.worker]
+        deadline_ms = extend_lease(worker, cluster.policy, now)
+        tell(self._order_link(worker), SendStart(order, deadline_ms, send_by))
+
+    def send_stop(self, cluster: Cluster, order: StopTask) -> None:
+        """Send a stop, if the worker's address is known."""
+        worker = cluster.workers.get(order.worker)
+        if worker is not None and worker.entry.address:
+            tell(self._order_link(worker), SendStop(order))
+
+    def look_at_all(self, cluster: Cluster, valid_until: float, now: float) -> None:
+        """Look at each worker that needs it."""
+        for worker in cluster.workers.values():
+            if not worker.is_polling and worker.entry.address:
+                self._look_at(cluster, worker, valid_until, now)
+
+    def _look_at(
+        self, cluster: Cluster, worker: Worker, valid_until: float, now: float
+    ) -> None:
+        if now < worker.poll_after or worker.seen > worker.saved:
+            return
+        if not is_look_needed(worker):
+            return
+        may_extend = (
+            bool(worker.tasks)
+            and worker.clock_at > 0
+            and not worker.is_silent
+            and now < valid_until
+        )
+        deadline = extend_lease(worker, cluster.policy, now) if may_extend else None
+        is_waiting = bool(worker.tasks) and worker.is_fenced and not worker.has_foreign
+        wait_ms = LOOK_WAIT_MS if is_waiting and not worker.is_silent else 0
+        worker.is_polling = True
+        worker.acknowledged = worker.saved
+        look = Look(deadline, worker.saved, wait_ms)
+        tell(self._look_link(worker), SendLook(look, valid_until))
+
+    def _order_link(self, worker: Worker) -> ActorRef:
+        links = self._links_of(worker)
+        if links.orders is None:
+            client = self.make_client(worker.entry.id, links.address)
+            links.orders = OrderLink.start(client, self.epoch, self.owner)
+        return links.orders
+
+    def _look_link(self, worker: Worker) -> ActorRef:
+        links = self._links_of(worker)
+        if links.looks is None:
+            client = self.make_client(worker.entry.id, links.address)
+            links.looks = LookLink.start(
+                worker.entry.id, client, self.epoch, self.owner
+            )
+        return links.looks
+
+    def _links_of(self, worker: Worker) -> Links:
+        links = self.links.get(worker.entry.id)
+        if links is None or links.address != worker.entry.address:
+            self.drop(worker.entry.id)
+            links = Links(worker.entry.address)
+            self.links[worker.entry.id] = links
+        return links
+
+
+def is_look_needed(worker: Worker) -> bool:
+    """Tell whether a look would tell something new, or acknowledge an end."""
+    if worker.tasks or worker.has_foreign or worker.saved > worker.acknowledged:
+        return True
+    return not worker.is_fenced and worker.state is not WorkerState.GONE
--- /dev/null
+++ b/geraniumwell/actors/batch/job_desk.py
@@ -0,0 +1,138 @@
+"""Takes jobs, cancellations and questions of callers to the store.
+
+Each thread that serves callers owns a connection to the store.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from threading import local
+
+from geraniumwell.actors.batch.journal import CANCEL_SUFFIX
+from geraniumwell.clients.table import (
+    Committed,
+    Condition,
+    Conflict,
+    RowWrite,
+    StoredRow,
+    StoreRefusedError,
+    StoreUnknownError,
+    TableClient,
+    TableTransaction,
+)
+from geraniumwell.codec.batch import decode_spec, decode_state, encode_spec
+from geraniumwell.codec.json import CodecError
+from geraniumwell.const import TABLE_JOBS, TABLE_PROGRESS
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.model.batch.job import JobSpec, JobState
+
+
+class DeskCode(Enum):
+    """Outcome of a caller's call."""
+
+    ACCEPTED = "accepted"
+    KNOWN = "known"
+    CANCELLED = "cancelled"
+    NO_JOB = "no_job"
+    FOUND = "found"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class DeskAnswer:
+    """Outcome of a caller's call, with the job's state where it was asked for."""
+
+    code: DeskCode
+    state: JobState | None = None
+
+
+class JobDesk:
+    """Turns calls into transactions and reads of the store.
+
+    Parameters
+    ----------
+    make_store : callable
+        Returns a client with a connection of its own.
+    """
+
+    __slots__ = ("_local", "_make_store")
+
+    def __init__(self, make_store: Callable[[], TableClient]) -> None:
+        self._make_store = make_store
+        self._local = local()
+
+    def submit(self, spec: JobSpec) -> DeskAnswer:
+        """Store a job; handing the same one in again changes nothing."""
+        transaction = TableTransaction(
+            (Condition(TABLE_JOBS, spec.id, 0),),
+            (RowWrite(TABLE_JOBS, spec.id, encode_spec(spec)),),
+        )
+        try:
+            result = self._store().commit(transaction)
+        except StoreRefusedError as exc:
+            return self._fail("submit", spec.id, DeskCode.REFUSED, exc)
+        except StoreUnknownError as exc:
+            return self._fail("submit", spec.id, DeskCode.UNKNOWN, exc)
+        match result:
+            case Committed(version):
+                EVENTS.write(
+                    "job_accepted", job=spec.id, queue=spec.queue, version=version
+                )
+                return DeskAnswer(DeskCode.ACCEPTED)
+            case Conflict():
+                EVENTS.write("job_known", job=spec.id)
+                return DeskAnswer(DeskCode.KNOWN)
+
+    def cancel(self, job_id: str, queue: str) -> DeskAnswer:
+        """Store the cancellation of a job."""
+        try:
+            if self._find_spec(job_id, queue) is None:
+                return DeskAnswer(DeskCode.NO_JOB)
+            write = RowWrite(TABLE_JOBS, job_id + CANCEL_SUFFIX, b"x")
+            self._store().commit(TableTransaction((), (write,)))
+        except StoreRefusedError as exc:
+            return self._fail("cancel", job_id, DeskCode.REFUSED, exc)
+        except StoreUnknownError as exc:
+            return self._fail("cancel", job_id, DeskCode.UNKNOWN, exc)
+        EVENTS.write("cancel_accepted", job=job_id)
+        return DeskAnswer(DeskCode.CANCELLED)
+
+    def find_state(self, job_id: str, queue: str) -> DeskAnswer:
+        """Return the state of a job."""
+        try:
+            row = self._find_row(TABLE_PROGRESS, job_id)
+            if row is not None:
+                state, has_begun = decode_state(row.value)
+                if state is JobState.QUEUED and has_begun:
+                    state = JobState.RUNNING
+                return DeskAnswer(DeskCode.FOUND, state)
+            if self._find_spec(job_id, queue) is None:
+                return DeskAnswer(DeskCode.NO_JOB)
+        except (StoreRefusedError, StoreUnknownError, CodecError) as exc:
+            return self._fail("state", job_id, DeskCode.REFUSED, exc)
+        return DeskAnswer(DeskCode.FOUND, JobState.QUEUED)
+
+    def _find_spec(self, job_id: str, queue: str) -> JobSpec | None:
+        row = self._find_row(TABLE_JOBS, job_id)
+        if row is None:
+            return None
+        spec = decode_spec(row.value)
+        return spec if spec.queue == queue else None
+
+    def _find_row(self, table: str, key: str) -> StoredRow | None:
+        rows = self._store().read(table, key, limit=1).rows
+        return next((row for row in rows if row.key == key), None)
+
+    def _store(self) -> TableClient:
+        if not hasattr(self._local, "client"):
+            self._local.client = self._make_store()
+        return self._local.client
+
+    def _fail(
+        self, call: str, job_id: str, code: DeskCode, exc: Exception
+    ) -> DeskAnswer:
+        EVENTS.write(
+            "call_failed", call=call, job=job_id, outcome=code.value, detail=str(exc)
+        )
+        return DeskAnswer(code)
--- /dev/null
+++ b/geraniumwell/actors/batch/journal.py
@@ -0,0 +1,170 @@
+"""Transactions of the scheduler: one at a time, each one renews its claim."""
+
+from dataclasses import dataclass, field
+
+from geraniumwell.clients.table import (
+    Committed,
+    Condition,
+    Conflict,
+    RowRemoval,
+    RowWrite,
+    TableTransaction,
+)
+from geraniumwell.codec.batch import decode_leader, encode_leader, encode_progress
+from geraniumwell.codec.json import CodecError
+from geraniumwell.commands.batch.leadership import HOLDER_VALID_SECONDS, RENEW_SECONDS
+from geraniumwell.const import (
+    LEADER_KEY,
+    TABLE_CONTROL,
+    TABLE_JOBS,
+    TABLE_PROGRESS,
+)
+from geraniumwell.messages.batch import Claim
+from geraniumwell.model.batch.cluster import Cluster, StartTask
+from geraniumwell.model.batch.leader import LeaderRow
+from geraniumwell.queries.batch.status import count_pending
+
+# The store takes 100 entries; the claim is one write and one condition.
+JOBS_PER_TRANSACTION = 80
+# Suffix of the row that tells of a job's cancellation.
+CANCEL_SUFFIX = ".x"
+# Changes that come closer together share a transaction.
+TRANSACTION_GAP_SECONDS = 0.02
+
+
+@dataclass(slots=True)
+class Flight:
+    """A transaction that the store has not confirmed yet.
+
+    Parameters
+    ----------
+    orders : list of StartTask
+        Starts that are sent once the transaction is confirmed.
+    seen : dict
+        Number of the last end of each worker whose effect it stores.
+    """
+
+    row: LeaderRow
+    transaction: TableTransaction
+    jobs: set[str]
+    orders: list[StartTask]
+    seen: dict[str, int]
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Journal:
+    """What is stored, what is on its way, and until when the claim is valid.
+
+    Parameters
+    ----------
+    valid_until : float
+        Time until which no other daemon can have claimed.
+    orders : list of StartTask
+        Starts whose tasks are not stored yet.
+    removals : list of str
+        Jobs whose rows are to be removed.
+    """
+
+    holder: str
+    epoch: int
+    version: int
+    counter: int
+    valid_until: float
+    sent_at: float
+    orders: list[StartTask] = field(default_factory=list)
+    removals: list[str] = field(default_factory=list)
+    flight: Flight | None = None
+    is_releasing: bool = False
+
+
+def open_journal(claim: Claim) -> Journal:
+    """Return the journal of a new claim."""
+    return Journal(
+        claim.row.holder,
+        claim.row.epoch,
+        claim.version,
+        claim.row.counter,
+        claim.sent_at + HOLDER_VALID_SECONDS,
+        claim.sent_at,
+    )
+
+
+def find_due(journal: Journal, cluster: Cluster) -> float:
+    """Return when the next transaction is to be sent."""
+    if cluster.changed or journal.orders or journal.is_releasing:
+        return journal.sent_at + TRANSACTION_GAP_SECONDS
+    return journal.sent_at + RENEW_SECONDS
+
+
+def begin(journal: Journal, cluster: Cluster, now: float) -> Flight:
+    """Put all changes into a transaction; return it as in flight."""
+    jobs = set(sorted(cluster.changed)[:JOBS_PER_TRANSACTION])
+    cluster.changed -= jobs
+    holder = "" if journal.is_releasing and not cluster.changed else journal.holder
+    row = LeaderRow(holder, journal.epoch, journal.counter + 1, count_pending(cluster))
+    writes = [RowWrite(TABLE_CONTROL, LEADER_KEY, encode_leader(row))]
+    for job_id in sorted(jobs & cluster.jobs.keys()):
+        value = encode_progress(cluster.jobs[job_id])
+        writes.append(RowWrite(TABLE_PROGRESS, job_id, value))
+    old, journal.removals = journal.removals[:5], journal.removals[5:]
+    removals = [
+        RowRemoval(table, key)
+        for job_id in old
+        for table, key in (
+            (TABLE_PROGRESS, job_id),
+            (TABLE_JOBS, job_id),
+            (TABLE_JOBS, job_id + CANCEL_SUFFIX),
+        )
+    ]
+    transaction = TableTransaction(
+        (Condition(TABLE_CONTROL, LEADER_KEY, journal.version),),
+        tuple(writes),
+        tuple(removals),
+    )
+    is_complete = not cluster.changed
+    orders = [o for o in journal.orders if is_complete or o.id.job in jobs]
+    journal.orders = [o for o in journal.orders if o not in orders]
+    seen = {}
+    if is_complete:
+        seen = {key: worker.seen for key, worker in cluster.workers.items()}
+    journal.counter += 1
+    journal.sent_at = now
+    journal.flight = Flight(row, transaction, jobs, orders, seen, now)
+    return journal.flight
+
+
+def confirm(journal: Journal, cluster: Cluster, version: int) -> Flight:
+    """Note that the transaction in flight was carried out."""
+    flight = journal.flight
+    assert flight is not None
+    journal.flight = None
+    journal.version = version
+    journal.valid_until = flight.sent_at + HOLDER_VALID_SECONDS
+    for key, number in flight.seen.items():
+        worker = cluster.workers.get(key)
+        if worker is not None and number <= worker.seen:
+            worker.saved = max(worker.saved, number)
+    return flight
+
+
+def find_version(journal: Journal, result: Committed | Conflict) -> int | None:
+    """Return the version of the transaction in flight; None if the claim is lost.
+
+    A conflict may come from the transaction itself, if an earlier sending of it was
+    carried out and its answer lost.
+    """
+    match result:
+        case Committed(version):
+            return version
+        case Conflict(rows):
+            flight = journal.flight
+            for row in rows:
+                if row.table != TABLE_CONTROL or row.key != LEADER_KEY:
+                    continue
+                try:
+                    is_own = flight and decode_leader(row.value) == flight.row
+                except CodecError:
+                    return None
+                return row.version if is_own else None
+    return None
--- /dev/null
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -0,0 +1,513 @@
+"""Actor that schedules all jobs of an installation while its claim is valid."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from typing import Any
+
+from pykka import ActorRef, ThreadingActor
+
+from geraniumwell.actors.batch.fleet import (
+    FOREIGN_RETRY_SECONDS,
+    SILENT_RETRY_SECONDS,
+    Fleet,
+    MakeClient,
+)
+from geraniumwell.actors.batch.journal import (
+    CANCEL_SUFFIX,
+    Journal,
+    begin,
+    confirm,
+    find_due,
+    find_version,
+    open_journal,
+)
+from geraniumwell.actors.batch.store_link import StoreLink
+from geraniumwell.actors.batch.table_feed import TableFeed
+from geraniumwell.actors.batch.telling import tell
+from geraniumwell.actors.ticker import Ticker
+from geraniumwell.clients.table import StoredRow, TableClient
+from geraniumwell.clients.task_worker import FencedError, OtherLifeError
+from geraniumwell.codec.batch import decode_progress, decode_spec
+from geraniumwell.codec.json import CodecError
+from geraniumwell.commands.batch.answers import (
+    apply_lost_start,
+    apply_start_answer,
+    apply_stop_answer,
+    is_start_wanted,
+)
+from geraniumwell.commands.batch.ends import apply_report
+from geraniumwell.commands.batch.lifecycle import (
+    add_job,
+    cancel_job,
+    find_task,
+    forget_old_jobs,
+)
+from geraniumwell.commands.batch.planning import plan
+from geraniumwell.commands.batch.registry import (
+    apply_absence,
+    apply_all_entries,
+    apply_entry,
+    forget_gone_workers,
+    restore_job,
+)
+from geraniumwell.const import TABLE_JOBS, TABLE_PROGRESS
+from geraniumwell.helpers.batch_metrics import (
+    ENDS,
+    ORDERS,
+    PLAN_SECONDS,
+    RUNNING,
+    WAITING,
+)
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.messages.batch import (
+    AskPending,
+    CatalogChanged,
+    Claim,
+    CommitFailed,
+    CommitRows,
+    Deposed,
+    FollowTable,
+    LoadFailed,
+    LoadTables,
+    Retire,
+    RowsCommitted,
+    StartAnswered,
+    StartLost,
+    StartNotSent,
+    StopAnswered,
+    StopLost,
+    TableChanged,
+    TableReset,
+    TableSilent,
+    TablesLoaded,
+    WorkerNotSeen,
+    WorkerSeen,
+)
+from geraniumwell.messages.serving import Tick
+from geraniumwell.model.batch.catalog import Catalog
+from geraniumwell.model.batch.cluster import (
+    BatchPolicy,
+    Cluster,
+    Order,
+    StartTask,
+    StopTask,
+)
+from geraniumwell.model.batch.worker import StartResult, WorkerEntry
+from geraniumwell.queries.batch.status import count_pending
+from geraniumwell.util.clock import steady_seconds, steady_wall_seconds
+
+# Messages that come closer together share a round of planning.
+PLAN_GAP_SECONDS = 0.02
+# Longest time between rounds; leases lapse and stops are repeated without messages.
+PLAN_IDLE_SECONDS = 0.25
+FEED_WAIT_SECONDS = 2.0
+# New jobs that come closer together are read in one call.
+FEED_GAP_SECONDS = 0.02
+RETRY_SECONDS = 0.1
+# A tick may come this much before its time, because two clocks are used.
+TICK_SLACK_SECONDS = 0.002
+
+
+@dataclass(slots=True, frozen=True)
+class SchedulerParts:
+    """What a scheduler needs of its surroundings.
+
+    Parameters
+    ----------
+    registry : str
+        Table of the store in which workers register themselves.
+    decode_entry : callable
+        Returns the worker that a row of the registry names; raises CodecError.
+    """
+
+    policy: BatchPolicy
+    ticker: Ticker
+    make_store: Callable[[], TableClient]
+    make_worker: MakeClient
+    registry: str
+    decode_entry: Callable[[str, bytes], WorkerEntry]
+
+
+class Scheduler(ThreadingActor):
+    """Owns the state of all jobs and workers under one epoch."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, claim: Claim, catalog: Catalog, parts: SchedulerParts, owner: ActorRef
+    ) -> None:
+        super().__init__()
+        self._parts = parts
+        self._owner = owner
+        self._cluster = Cluster(claim.row.epoch, parts.policy, catalog)
+        self._journal: Journal = open_journal(claim)
+        self._is_loaded = False
+        self._plan_due = inf
+        self._planned_at = 0.0
+        self._is_renewal_due = False
+        self._feeds: list[ActorRef] = []
+        self._fleet = Fleet(claim.row.epoch, self.actor_ref, parts.make_worker)
+
+    def on_start(self) -> None:
+        """Read what is stored before the first order."""
+        self._store = StoreLink.start(self._parts.make_store(), self.actor_ref)
+        self._loader = StoreLink.start(self._parts.make_store(), self.actor_ref)
+        self._load()
+        self._renew()
+
+    def on_stop(self) -> None:
+        """Stop the actors of this scheduler."""
+        self._fleet.close()
+        for ref in (self._store, self._loader, *self._feeds):
+            ref.stop(block=False)
+
+    def on_failure(self, exception_type: Any, value: Any, traceback: Any) -> None:
+        """Let another daemon take over."""
+        EVENTS.write("scheduler_failed", detail=f"{exception_type.__name__}: {value}")
+        self.on_stop()
+        tell(self._owner, Deposed(self._cluster.epoch, "failed"))
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case AskPending():
+                return count_pending(self._cluster)
+            case TablesLoaded() | LoadFailed():
+                self._take_load(message)
+            case TableChanged() | TableReset() | TableSilent():
+                self._take_rows(message)
+            case CatalogChanged(catalog):
+                self._cluster.catalog = catalog
+                self._request_plan()
+            case RowsCommitted() | CommitFailed():
+                self._take_commit(message)
+            case WorkerSeen() | WorkerNotSeen():
+                self._take_look(message)
+            case StartAnswered() | StartNotSent() | StartLost():
+                self._take_start(message)
+            case StopAnswered(order):
+                apply_stop_answer(self._cluster, order, steady_seconds())
+                ORDERS.labels("stop", "stopped").inc()
+            case StopLost(order, code):
+                ORDERS.labels("stop", code).inc()
+            case Retire():
+                self._journal.is_releasing = True
+            case Tick("plan"):
+                self._plan_if_due()
+            case Tick("renew"):
+                self._is_renewal_due = False
+            case Tick("resend"):
+                self._resend()
+            case Tick("load"):
+                self._load()
+        self._advance()
+        return None
+
+    def _load(self) -> None:
+        registry = self._parts.registry
+        tables = (registry, TABLE_PROGRESS, TABLE_JOBS)
+        tell(self._loader, LoadTables(tables))
+
+    def _take_load(self, message: TablesLoaded | LoadFailed) -> None:
+        if isinstance(message, LoadFailed):
+            EVENTS.write("load_failed", code=message.code, detail=message.detail)
+            self._tick_after(RETRY_SECONDS, "load")
+            return
+        now = steady_seconds()
+        ranges = message.ranges
+        apply_all_entries(
+            self._cluster, self._decode_entries(ranges[self._parts.registry].rows), now
+        )
+        progress = {row.key: row for row in ranges[TABLE_PROGRESS].rows}
+        for row in ranges[TABLE_JOBS].rows:
+            self._restore(row, progress, now)
+        self._apply_job_rows(ranges[TABLE_JOBS].rows)
+        self._is_loaded = True
+        self._request_plan()
+        for table, gap in ((TABLE_JOBS, FEED_GAP_SECONDS), (self._parts.registry, 0.0)):
+            feed = TableFeed.start(
+                self._parts.make_store(),
+                table,
+                self.actor_ref,
+                self._parts.ticker,
+                FEED_WAIT_SECONDS,
+                gap,
+            )
+            self._feeds.append(feed)
+            tell(feed, FollowTable(ranges[table].version))
+        EVENTS.write(
+            "scheduler_loaded",
+            epoch=self._cluster.epoch,
+            jobs=len(self._cluster.jobs),
+            workers=len(self._cluster.workers),
+        )
+
+    def _restore(
+        self, row: StoredRow, progress: dict[str, StoredRow], now: float
+    ) -> None:
+        stored = progress.get(row.key)
+        if stored is None:
+            return
+        try:
+            job = decode_progress(stored.value, decode_spec(row.value))
+        except CodecError as exc:
+            EVENTS.write("row_unreadable", key=row.key, detail=str(exc))
+            return
+        restore_job(self._cluster, job, now)
+
+    def _take_rows(self, message: TableChanged | TableReset | TableSilent) -> None:
+        now = steady_seconds()
+        match message:
+            case TableSilent(table, code):
+                EVENTS.write("table_silent", table=table, code=code)
+            case TableReset(table, rows) if table == self._parts.registry:
+                entries = self._decode_entries(rows)
+                for worker_id in apply_all_entries(self._cluster, entries, now):
+                    self._fleet.drop(worker_id)
+            case TableChanged(table, rows) if table == self._parts.registry:
+                self._apply_registry_rows(rows, now)
+            case TableReset(_, rows) | TableChanged(_, rows):
+                self._apply_job_rows(rows)
+        self._request_plan()
+
+    def _decode_entries(self, rows: tuple[StoredRow, ...]) -> list[WorkerEntry]:
+        entries = [self._decode_entry(row) for row in rows]
+        return [entry for entry in entries if entry is not None]
+
+    def _decode_entry(self, row: StoredRow) -> WorkerEntry | None:
+        try:
+            return self._parts.decode_entry(row.key, row.value)
+        except CodecError as exc:
+            EVENTS.write("worker_entry_unreadable", worker=row.key, detail=str(exc))
+            return None
+
+    def _apply_registry_rows(self, rows: tuple[StoredRow, ...], now: float) -> None:
+        for row in rows:
+            entry = None if row.is_deleted else self._decode_entry(row)
+            if entry is not None:
+                apply_entry(self._cluster, entry, now)
+                state = "draining" if entry.is_draining else "ready"
+                EVENTS.write("worker_entry", worker=row.key, state=state)
+                continue
+            EVENTS.write("worker_entry", worker=row.key, state="gone")
+            if apply_absence(self._cluster, row.key):
+                self._fleet.drop(row.key)
+
+    def _apply_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        now, wall_now = steady_seconds(), steady_wall_seconds()
+        for row in rows:
+            if row.is_deleted:
+                continue
+            if row.key.endswith(CANCEL_SUFFIX):
+                job_id = row.key.removesuffix(CANCEL_SUFFIX)
+                EVENTS.write("job_cancelled", job=job_id)
+                self._carry_out(cancel_job(self._cluster, job_id, now, wall_now))
+                continue
+            if row.key in self._cluster.jobs:
+                continue
+            try:
+                spec = decode_spec(row.value)
+            except CodecError as exc:
+                EVENTS.write("row_unreadable", key=row.key, detail=str(exc))
+                continue
+            add_job(self._cluster, spec, wall_now)
+            EVENTS.write(
+                "job_taken_up",
+                job=spec.id,
+                queue=spec.queue,
+                tasks=sum(step.count for step in spec.steps),
+                age=round(wall_now - spec.accepted_at, 3),
+            )
+
+    def _take_commit(self, message: RowsCommitted | CommitFailed) -> None:
+        journal, now = self._journal, steady_seconds()
+        flight = journal.flight
+        if flight is None:
+            return
+        if isinstance(message, CommitFailed):
+            EVENTS.write("commit_failed", code=message.code, number=message.number)
+            self._tick_after(RETRY_SECONDS, "resend")
+            return
+        version = find_version(journal, message.result)
+        if version is None:
+            self._end("another daemon holds the claim")
+            return
+        flight = confirm(journal, self._cluster, version)
+        if not flight.row.holder:
+            self._end("released")
+            return
+        for order in flight.orders:
+            self._send_start(order, now)
+
+    def _end(self, reason: str) -> None:
+        self._journal.valid_until = 0.0
+        EVENTS.write("scheduler_ended", epoch=self._cluster.epoch, reason=reason)
+        tell(self._owner, Deposed(self._cluster.epoch, reason))
+        self.stop()
+
+    def _renew(self) -> None:
+        """Send the next transaction once it is due."""
+        journal, now = self._journal, steady_seconds()
+        if journal.flight is not None:
+            return
+        due = find_due(journal, self._cluster)
+        if now >= due:
+            flight = begin(journal, self._cluster, now)
+            tell(self._store, CommitRows(flight.row.counter, flight.transaction))
+        elif not self._is_renewal_due:
+            self._is_renewal_due = True
+            self._tick_after(due - now, "renew")
+
+    def _resend(self) -> None:
+        """Send the transaction in flight again, because it got no answer."""
+        flight = self._journal.flight
+        if flight is not None:
+            flight.sent_at = steady_seconds()
+            tell(self._store, CommitRows(flight.row.counter, flight.transaction))
+
+    def _send_start(self, order: StartTask, now: float) -> None:
+        if not is_start_wanted(self._cluster, order):
+            return
+        if now >= self._journal.valid_until:
+            # The next confirmed transaction makes the claim valid again.
+            self._journal.orders.append(order)
+            return
+        task = find_task(self._cluster, order.id)
+        assert task is not None
+        task.is_order_sent = True
+        EVENTS.write(
+            "start", job=order.id.job, task=_name(order), run=order.run, on=order.worker
+        )
+        self._fleet.send_start(self._cluster, order, self._journal.valid_until, now)
+
+    def _take_start(self, message: StartAnswered | StartNotSent | StartLost) -> None:
+        now = steady_seconds()
+        match message:
+            case StartAnswered(order, answer):
+                ORDERS.labels("start", answer.result.value).inc()
+                apply_start_answer(self._cluster, order, answer.result, now)
+                if answer.result is StartResult.STALE_EPOCH:
+                    self._end("a worker has seen a higher epoch")
+                if answer.result is not StartResult.STARTED:
+                    self._log_start(order, answer.result.value)
+            case StartNotSent(order, code):
+                ORDERS.labels("start", code).inc()
+                self._log_start(order, code)
+                apply_start_answer(self._cluster, order, StartResult.REFUSED, now)
+                self._request_plan()
+            case StartLost(order, code):
+                ORDERS.labels("start", code).inc()
+                self._log_start(order, code)
+                self._carry_out(apply_lost_start(self._cluster, order, now))
+
+    def _log_start(self, order: StartTask, code: str) -> None:
+        EVENTS.write(
+            "start_failed",
+            job=order.id.job,
+            task=_name(order),
+            run=order.run,
+            on=order.worker,
+            code=code,
+        )
+
+    def _take_look(self, message: WorkerSeen | WorkerNotSeen) -> None:
+        worker = self._cluster.workers.get(message.worker)
+        if worker is None:
+            return
+        now = steady_seconds()
+        worker.is_polling = False
+        match message:
+            case WorkerNotSeen(_, code):
+                if not worker.is_silent:
+                    EVENTS.write("worker_silent", worker=message.worker, code=code)
+                worker.is_silent = True
+                worker.poll_after = now + SILENT_RETRY_SECONDS
+                if code == FencedError.code:
+                    self._end("a worker has seen a higher epoch")
+                if code == OtherLifeError.code:
+                    worker.poll_after = now + 1.0
+            case WorkerSeen(_, _, report, sent_at):
+                if worker.is_silent:
+                    EVENTS.write("worker_heard", worker=message.worker)
+                self._log_ends(message)
+                orders = apply_report(
+                    self._cluster, worker, report, sent_at, now, steady_wall_seconds()
+                )
+                self._carry_out(orders)
+                if worker.has_foreign:
+                    worker.poll_after = now + FOREIGN_RETRY_SECONDS
+                self._request_plan()
+
+    def _log_ends(self, message: WorkerSeen) -> None:
+        worker = self._cluster.workers[message.worker]
+        for end in message.report.ended:
+            if end.number <= worker.seen:
+                continue
+            ENDS.labels(end.kind.value).inc()
+            EVENTS.write(
+                "end",
+                job=end.id.job,
+                task=_name(end),
+                run=end.run,
+                on=message.worker,
+                how=end.kind.value,
+            )
+
+    def _carry_out(self, orders: list[Order]) -> None:
+        for order in orders:
+            match order:
+                case StartTask():
+                    self._journal.orders.append(order)
+                case StopTask():
+                    EVENTS.write(
+                        "stop",
+                        job=order.id.job,
+                        task=_name(order),
+                        run=order.run,
+                        on=order.worker,
+                    )
+                    self._fleet.send_stop(self._cluster, order)
+
+    def _request_plan(self) -> None:
+        """Plan soon; messages that come close together share a round."""
+        now = steady_seconds()
+        self._plan_at(max(now, self._planned_at + PLAN_GAP_SECONDS), now)
+
+    def _plan_at(self, due: float, now: float) -> None:
+        if due < self._plan_due:
+            self._plan_due = due
+            self._tick_after(due - now, "plan")
+
+    def _plan_if_due(self) -> None:
+        now = steady_seconds()
+        if not self._is_loaded or now + TICK_SLACK_SECONDS < self._plan_due:
+            return
+        self._plan_due = inf
+        self._planned_at = now
+        self._plan(now, steady_wall_seconds())
+        self._plan_at(now + PLAN_IDLE_SECONDS, now)
+
+    def _plan(self, now: float, wall_now: float) -> None:
+        with PLAN_SECONDS.time():
+            self._carry_out(plan(self._cluster, now, wall_now))
+        for worker_id in forget_gone_workers(self._cluster):
+            self._fleet.drop(worker_id)
+        self._journal.removals += forget_old_jobs(self._cluster, wall_now)
+        WAITING.set(sum(count_pending(self._cluster).values()))
+        RUNNING.set(sum(len(w.tasks) for w in self._cluster.workers.values()))
+
+    def _advance(self) -> None:
+        """Do what has become due after a message."""
+        if not self.actor_ref.is_alive():
+            return
+        self._renew()
+        now = steady_seconds()
+        self._fleet.look_at_all(self._cluster, self._journal.valid_until, now)
+
+    def _tick_after(self, seconds: float, name: str) -> None:
+        self._parts.ticker.tick_after(seconds, self.actor_ref, name)
+
+
+def _name(item: Any) -> str:
+    return f"{item.id.occurrence}.{item.id.step}.{item.id.index}"
--- /dev/null
+++ b/geraniumwell/actors/batch/store_link.py
@@ -0,0 +1,49 @@
+"""Actor that owns one connection to the table store."""
+
+from typing import Any
+
+from pykka import ActorRef, ThreadingActor
+
+from geraniumwell.actors.batch.telling import tell
+from geraniumwell.clients.table import StoreError, TableClient, read_all
+from geraniumwell.messages.batch import (
+    CommitFailed,
+    CommitRows,
+    LoadFailed,
+    LoadTables,
+    RowsCommitted,
+    TablesLoaded,
+)
+
+
+class StoreLink(ThreadingActor):
+    """Makes one call at a time, so that its owner never waits on the store."""
+
+    use_daemon_thread = True
+
+    def __init__(self, client: TableClient, owner: ActorRef) -> None:
+        super().__init__()
+        self._client = client
+        self._owner = owner
+
+    def on_stop(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case CommitRows(number, transaction):
+                try:
+                    result = self._client.commit(transaction)
+                except StoreError as exc:
+                    tell(self._owner, CommitFailed(number, exc.code, str(exc)))
+                else:
+                    tell(self._owner, RowsCommitted(number, result))
+            case LoadTables(tables):
+                try:
+                    ranges = {name: read_all(self._client, name) for name in tables}
+                except StoreError as exc:
+                    tell(self._owner, LoadFailed(exc.code, str(exc)))
+                else:
+                    tell(self._owner, TablesLoaded(ranges))
--- /dev/null
+++ b/geraniumwell/actors/batch/table_feed.py
@@ -0,0 +1,96 @@
+"""Actor that follows the changes of one table of the store."""
+
+from typing import Any
+
+from pykka import ActorRef, ThreadingActor
+
+from geraniumwell.actors.batch.telling import tell
+from geraniumwell.actors.ticker import Ticker
+from geraniumwell.clients.table import (
+    HistoryLostError,
+    StoreError,
+    TableClient,
+    read_all,
+)
+from geraniumwell.messages.batch import (
+    FollowTable,
+    TableChanged,
+    TableReset,
+    TableSilent,
+)
+from geraniumwell.messages.serving import Tick
+
+# After an error the store is asked again after this time.
+RETRY_SECONDS = 0.15
+
+
+class TableFeed(ThreadingActor):
+    """Asks the store for the next changes again and again and passes them on.
+
+    Parameters
+    ----------
+    wait_seconds : float
+        How long the store waits for a change before it answers.
+    gap_seconds : float
+        Pause after an answer with changes, so that several come in one.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        client: TableClient,
+        table: str,
+        receiver: ActorRef,
+        ticker: Ticker,
+        wait_seconds: float,
+        gap_seconds: float = 0.0,
+    ) -> None:
+        super().__init__()
+        self._client = client
+        self._table = table
+        self._receiver = receiver
+        self._ticker = ticker
+        self._wait_seconds = wait_seconds
+        self._gap_seconds = gap_seconds
+        self._after: int | None = None
+
+    def on_stop(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case FollowTable(after):
+                self._after = after
+                self._ask()
+            case Tick():
+                self._ask()
+
+    def _ask(self) -> None:
+        try:
+            pause = self._read() if self._after is None else self._watch()
+        except HistoryLostError:
+            self._after = None
+            pause = 0.0
+        except StoreError as exc:
+            tell(self._receiver, TableSilent(self._table, exc.code))
+            pause = RETRY_SECONDS
+        if pause:
+            self._ticker.tick_after(pause, self.actor_ref, "ask")
+        else:
+            tell(self.actor_ref, Tick("ask"))
+
+    def _read(self) -> float:
+        found = read_all(self._client, self._table)
+        self._after = found.version
+        tell(self._receiver, TableReset(self._table, found.rows))
+        return 0.0
+
+    def _watch(self) -> float:
+        assert self._after is not None
+        found = self._client.watch(self._table, self._after, self._wait_seconds)
+        self._after = max(self._after, found.version)
+        tell(self._receiver, TableChanged(self._table, found.rows))
+        return self._gap_seconds if found.rows else 0.0
--- /dev/null
+++ b/geraniumwell/actors/batch/worker_links.py
@@ -0,0 +1,106 @@
+"""Actors that own the connections to one worker."""
+
+from typing import Any
+
+from pykka import ActorRef, ThreadingActor
+
+from geraniumwell.actors.batch.telling import tell
+from geraniumwell.clients.task_worker import (
+    TaskWorkerClient,
+    TaskWorkerError,
+    TaskWorkerUnreachableError,
+)
+from geraniumwell.messages.batch import (
+    SendLook,
+    SendStart,
+    SendStop,
+    StartAnswered,
+    StartLost,
+    StartNotSent,
+    StopAnswered,
+    StopLost,
+    WorkerNotSeen,
+    WorkerSeen,
+)
+from geraniumwell.util.clock import steady_seconds
+
+CODE_TOO_LATE = "too_late"
+
+
+class OrderLink(ThreadingActor):
+    """Sends starts and stops to one worker, one at a time."""
+
+    use_daemon_thread = True
+
+    def __init__(self, client: TaskWorkerClient, epoch: int, owner: ActorRef) -> None:
+        super().__init__()
+        self._client = client
+        self._epoch = epoch
+        self._owner = owner
+
+    def on_stop(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case SendStart():
+                tell(self._owner, self._start(message))
+            case SendStop():
+                tell(self._owner, self._stop(message))
+
+    def _start(self, message: SendStart) -> StartAnswered | StartNotSent | StartLost:
+        # Checked last before sending: a daemon that was paused may have been replaced.
+        if steady_seconds() >= message.send_by:
+            return StartNotSent(message.order, CODE_TOO_LATE)
+        order = message.order
+        try:
+            answer = self._client.start(self._epoch, order, message.deadline_ms)
+        except TaskWorkerUnreachableError as exc:
+            return StartNotSent(order, exc.code)
+        except TaskWorkerError as exc:
+            return StartLost(order, exc.code)
+        return StartAnswered(order, answer)
+
+    def _stop(self, message: SendStop) -> StopAnswered | StopLost:
+        try:
+            self._client.stop(self._epoch, message.order)
+        except TaskWorkerError as exc:
+            return StopLost(message.order, exc.code)
+        return StopAnswered(message.order)
+
+
+class LookLink(ThreadingActor):
+    """Looks at one worker; a look may wait there for an end."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, worker: str, client: TaskWorkerClient, epoch: int, owner: ActorRef
+    ) -> None:
+        super().__init__()
+        self._worker = worker
+        self._client = client
+        self._epoch = epoch
+        self._owner = owner
+
+    def on_stop(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message."""
+        match message:
+            case SendLook(look, send_by):
+                sent_at = steady_seconds()
+                if sent_at >= send_by and look.deadline_ms is not None:
+                    tell(self._owner, WorkerNotSeen(self._worker, CODE_TOO_LATE))
+                    return
+                try:
+                    report = self._client.look(self._epoch, look)
+                except TaskWorkerError as exc:
+                    tell(self._owner, WorkerNotSeen(self._worker, exc.code))
+                    return
+                seen = WorkerSeen(self._worker, look, report, sent_at)
+                tell(self._owner, seen)
--- a/geraniumwell/actors/caller_server.py
+++ b/geraniumwell/actors/caller_server.py
@@ -6,12 +6,10 @@
 
 from loguru import logger
 from pykka import ActorDeadError, ActorRef, Future, ThreadingFuture, Timeout
-from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer
-from waitress.task import ErrorTask, WSGITask
+from waitress.task import ErrorTask
 from waitress.utilities import InternalServerError
-from waitress.wasyncore import dispatcher as SocketDispatcher
 
+from geraniumwell.actors.draining_server import DrainingChannel, DrainingServer
 from geraniumwell.codec.http import (
     answer_readiness,
     answer_tickets,
@@ -143,16 +141,6 @@
         return reply.get(timeout=seconds)
 
 
-class CallerTask(WSGITask):
-    """Task of one request; its connection ends with it once the server stops."""
-
-    def build_response_header(self) -> bytes:
-        """Return the head of the response."""
-        if self.channel.server.is_stopping:
-            self.set_close_on_finish()
-        return super().build_response_header()
-
-
 class CallerErrorTask(ErrorTask):
     """Task of a request that the HTTP server refuses by itself."""
 
@@ -172,52 +160,16 @@
         super().execute()
 
 
-class CallerChannel(HTTPChannel):
+class CallerChannel(DrainingChannel):
     """Connection of one caller."""
 
-    task_class = CallerTask
     error_task_class = CallerErrorTask
 
-    def del_channel(self, map: dict[int, Any] | None = None) -> None:
-        """Forget the connection; the last one ends a stopping server."""
-        super().del_channel(map)
-        self.server.end_when_idle()
 
-
-class CallerWsgiServer(TcpWSGIServer):
-    """Waitress server that can stop without cutting requests in progress.
-
-    Its methods besides ``request_drain`` run in the thread of its loop.
-    """
+class CallerWsgiServer(DrainingServer):
+    """Server whose own refusals carry the headers of every answer."""
 
     channel_class = CallerChannel
-    is_stopping = False
-
-    def request_drain(self) -> None:
-        """Ask the loop to close the listening socket and idle connections."""
-        self.trigger.pull_trigger(self._drain)
-
-    def request_end_of_partial(self) -> None:
-        """Ask the loop to close connections with only part of a request."""
-        self.trigger.pull_trigger(self._close_partial)
-
-    def end_when_idle(self) -> None:
-        """End the loop of a stopping server that has no connection left."""
-        if self.is_stopping and not self.active_channels:
-            self.trigger.close()
-
-    def _drain(self) -> None:
-        self.is_stopping = True
-        SocketDispatcher.close(self)
-        for channel in list(self.active_channels.values()):
-            if not channel.requests and channel.request is None:
-                channel.will_close = True
-        self.end_when_idle()
-
-    def _close_partial(self) -> None:
-        for channel in list(self.active_channels.values()):
-            if not channel.requests:
-                channel.will_close = True
 
 
 class CallerServer:
--- a/geraniumwell/actors/ticker.py
+++ b/geraniumwell/actors/ticker.py
@@ -39,6 +39,10 @@
         """Send ``Tick(name)`` to the receiver at monotonic time ``due``."""
         self._inbox.put((due, next(self._order), receiver, Tick(name)))
 
+    def tick_after(self, seconds: float, receiver: ActorRef, name: str) -> None:
+        """Send ``Tick(name)`` to the receiver after some time."""
+        self.tick_at(monotonic_seconds() + seconds, receiver, name)
+
     def _run(self) -> None:
         heap: list[tuple[float, int, ActorRef, Tick]] = []
         while True:
--- a/geraniumwell/cli/main.py
+++ b/geraniumwell/cli/main.py
@@ -3,7 +3,7 @@
 import sys
 from argparse import RawDescriptionHelpFormatter
 from pathlib import Path
-from signal import SIGINT, SIGTERM, signal
+from signal import SIGHUP, SIGINT, SIGTERM, signal
 
 from defopt import run
 
@@ -73,6 +73,27 @@
         sys.exit(EXIT_INTERNAL_ERROR)
 
 
+def serve_platform(settings: Path) -> None:
+    """Run the entry daemon on the users' platform until SIGTERM.
+
+    Parameters
+    ----------
+    settings : Path
+        JSON file with the settings that the platform fills in.
+    """
+    from geraniumwell.helpers.events import set_up_event_log
+    from geraniumwell.platform.daemon import PlatformDaemon
+    from geraniumwell.platform.settings import load_platform_settings
+
+    cfg = load_platform_settings(settings)
+    set_up_event_log(cfg.vm, cfg.log_level)
+    daemon = PlatformDaemon(cfg)
+    for number in (SIGTERM, SIGINT):
+        signal(number, lambda *_: daemon.request_stop())
+    signal(SIGHUP, lambda *_: None)
+    daemon.run()
+
+
 def check(settings: Path) -> None:
     """Check a settings file and say what is wrong with it.
 
@@ -89,7 +110,7 @@
     """Run the command that the arguments name."""
     try:
         run(
-            [serve, check, ask, do],
+            [serve, serve_platform, check, ask, do],
             cli_options="has_default",
             argparse_kwargs={
                 "prog": "geraniumwell",
--- /dev/null
+++ b/geraniumwell/clients/table.py
@@ -0,0 +1,130 @@
+"""Interface of the platform's table store, in this project's words."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from geraniumwell.exceptions import GeraniumwellError
+
+
+class StoreError(GeraniumwellError):
+    """The store did not do what it was asked to do."""
+
+    code = "store_error"
+
+
+class StoreRefusedError(StoreError):
+    """The store refused a call and did nothing."""
+
+    code = "store_refused"
+
+
+class StoreUnknownError(StoreError):
+    """No answer came; the call may have been carried out or may be later."""
+
+    code = "store_unknown"
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the changes after the wanted version."""
+
+    code = "store_history_lost"
+
+
+@dataclass(slots=True, frozen=True)
+class StoredRow:
+    """A row of the store; ``is_deleted`` marks a row that was removed."""
+
+    table: str
+    key: str
+    value: bytes
+    version: int
+    is_deleted: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Condition:
+    """Version that a row must have; 0 if there must be none."""
+
+    table: str
+    key: str
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class RowWrite:
+    """A row to write."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class RowRemoval:
+    """A row to remove."""
+
+    table: str
+    key: str
+
+
+@dataclass(slots=True, frozen=True)
+class TableTransaction:
+    """Changes that are all made or none."""
+
+    conditions: tuple[Condition, ...] = ()
+    writes: tuple[RowWrite, ...] = ()
+    removals: tuple[RowRemoval, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Committed:
+    """The transaction was carried out as this version."""
+
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Conflict:
+    """A condition did not hold; ``rows`` are the present rows of the conditions."""
+
+    rows: tuple[StoredRow, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class RowRange:
+    """Rows at one version of the store; ``is_partial`` if there are more."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    is_partial: bool = False
+
+
+class TableClient(Protocol):
+    """Calls of the table store; each raises a StoreError."""
+
+    def commit(self, transaction: TableTransaction) -> Committed | Conflict:
+        """Carry a transaction out."""
+
+    def read(self, table: str, first: str = "", limit: int = 0) -> RowRange:
+        """Return rows in the order of their keys, from ``first`` on."""
+
+    def watch(self, table: str, after: int, seconds: float) -> RowRange:
+        """Return the rows changed after a version, once there are any."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+def read_all(client: TableClient, table: str) -> RowRange:
+    """Return all rows of a table, page by page.
+
+    The version is that of the first page, so that a watch from there misses nothing.
+    """
+    page = client.read(table)
+    rows = list(page.rows)
+    version = page.version
+    while page.is_partial:
+        # No key contains a blank, which sorts before all characters that keys have.
+        page = client.read(table, rows[-1].key + " ")
+        rows.extend(page.rows)
+    return RowRange(tuple(rows), version)
--- /dev/null
+++ b/geraniumwell/codec/batch.py
@@ -0,0 +1,142 @@
+"""Encoding of the rows that the batch service keeps in the store."""
+
+from typing import Any
+from zlib import compress, decompress
+from zlib import error as ZlibError
+
+from msgspec import DecodeError, ValidationError, convert, to_builtins
+from msgspec.msgpack import decode, encode
+
+from geraniumwell.codec.json import CodecError
+from geraniumwell.model.batch.job import (
+    Job,
+    JobSpec,
+    JobState,
+    Phase,
+    StepRun,
+    Task,
+    open_occurrence,
+)
+from geraniumwell.model.batch.leader import LeaderRow
+
+# Rows are small and written often, so speed goes before size.
+COMPRESSION_LEVEL = 1
+
+
+def _pack(value: Any) -> bytes:
+    return compress(encode(to_builtins(value)), COMPRESSION_LEVEL)
+
+
+def _unpack(data: bytes, kind: Any) -> Any:
+    try:
+        return convert(decode(decompress(data)), kind)
+    except (ZlibError, DecodeError, ValidationError) as exc:
+        raise CodecError(f"row holds no {kind}: {exc}") from exc
+
+
+def encode_spec(spec: JobSpec) -> bytes:
+    """Return the row of a job as it was handed in."""
+    return _pack(spec)
+
+
+def decode_spec(data: bytes) -> JobSpec:
+    """Return the job that a row holds.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    return _unpack(data, JobSpec)
+
+
+def encode_leader(row: LeaderRow) -> bytes:
+    """Return the row of the scheduling daemon."""
+    return _pack(row)
+
+
+def decode_leader(data: bytes) -> LeaderRow:
+    """Return the scheduling daemon that a row names.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    return _unpack(data, LeaderRow)
+
+
+def encode_progress(job: Job) -> bytes:
+    """Return the row of a job's progress; ended jobs keep only their state."""
+    head = [job.state.value, job.has_begun, job.ended_at, job.opened]
+    if job.ended_at:
+        return _pack([*head, [], []])
+    steps = [
+        _encode_step(step)
+        for step in job.steps.values()
+        if step.occurrence not in job.finished
+    ]
+    return _pack([*head, sorted(job.finished), steps])
+
+
+def _encode_step(step: StepRun) -> list[Any]:
+    tasks = [
+        [t.phase.value, t.run, t.failures, t.worker, t.checkpoint] for t in step.tasks
+    ]
+    return [step.occurrence, step.step, step.gang_failures, step.failed_run, tasks]
+
+
+def decode_state(data: bytes) -> tuple[JobState, bool]:
+    """Return the state in a row of progress, and whether the job has begun.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    value = _unpack(data, list)
+    try:
+        return JobState(value[0]), bool(value[1])
+    except (ValueError, IndexError) as exc:
+        raise CodecError(f"row holds no progress: {exc}") from exc
+
+
+def decode_progress(data: bytes, spec: JobSpec) -> Job:
+    """Return the progress that a row holds of a job.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    value = _unpack(data, list)
+    try:
+        state, has_begun, ended_at, opened, finished, steps = value
+        job = Job(spec, JobState(state), has_begun=has_begun, ended_at=ended_at)
+        job.opened = opened
+        job.finished = set(finished)
+        if not job.ended_at:
+            for occurrence in range(opened):
+                open_occurrence(job, occurrence)
+        for item in steps:
+            _restore_step(job, item)
+    except (ValueError, TypeError, LookupError) as exc:
+        raise CodecError(f"row holds no progress of {spec.id}: {exc}") from exc
+    for (occurrence, _), step in job.steps.items():
+        if occurrence in job.finished:
+            for task in step.tasks:
+                task.phase = Phase.DONE
+    return job
+
+
+def _restore_step(job: Job, item: list[Any]) -> None:
+    occurrence, number, gang_failures, failed_run, tasks = item
+    step = job.steps[occurrence, number]
+    step.gang_failures, step.failed_run = gang_failures, failed_run
+    for task, row in zip(step.tasks, tasks, strict=True):
+        _restore_task(task, row)
+
+
+def _restore_task(task: Task, row: list[Any]) -> None:
+    phase, task.run, task.failures, task.worker, task.checkpoint = row
+    task.phase = Phase(phase)
--- /dev/null
+++ b/geraniumwell/commands/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: steps of tasks that run on workers under leases."""
--- /dev/null
+++ b/geraniumwell/commands/batch/answers.py
@@ -0,0 +1,75 @@
+"""Answers of workers to orders, applied to the state of tasks."""
+
+from geraniumwell.commands.batch.ends import note_broken
+from geraniumwell.commands.batch.health import note_refusal
+from geraniumwell.commands.batch.lifecycle import (
+    find_task,
+    release_task,
+    request_stop,
+)
+from geraniumwell.model.batch.cluster import Cluster, Order, StartTask, StopTask
+from geraniumwell.model.batch.job import ENDED_STATES, PLACED_PHASES, Phase, Task
+from geraniumwell.model.batch.worker import StartResult
+
+
+def find_placed(cluster: Cluster, order: StartTask | StopTask) -> Task | None:
+    """Return the task of an order if it is still placed as the order says."""
+    task = find_task(cluster, order.id)
+    if task is None or task.worker != order.worker or task.run != order.run:
+        return None
+    return task if task.phase in PLACED_PHASES else None
+
+
+def is_start_wanted(cluster: Cluster, order: StartTask) -> bool:
+    """Tell whether a planned start is still to be sent."""
+    task = find_placed(cluster, order)
+    job = cluster.jobs.get(order.id.job)
+    if task is None or job is None or job.state in ENDED_STATES:
+        return False
+    return task.phase is Phase.STARTING and not task.is_order_sent
+
+
+def apply_start_answer(
+    cluster: Cluster, order: StartTask, result: StartResult, now: float
+) -> None:
+    """Apply a worker's answer to a start."""
+    task = find_placed(cluster, order)
+    worker = cluster.workers.get(order.worker)
+    if task is None or worker is None:
+        return
+    match result:
+        case StartResult.STARTED:
+            task.settled_at = now
+            if task.phase is Phase.STARTING:
+                task.phase = Phase.RUNNING
+                task.started_at = task.progressed_at = now
+            return
+        case StartResult.NO_ROOM | StartResult.REFUSED | StartResult.OTHER_LIFE:
+            note_refusal(worker, now)
+        case StartResult.OLD_RUN | StartResult.LATE | StartResult.NO_TICKET:
+            pass
+        case StartResult.STALE_EPOCH:
+            pass
+    release_task(cluster, task)
+    note_broken(cluster, task, now)
+
+
+def apply_lost_start(cluster: Cluster, order: StartTask, now: float) -> list[Order]:
+    """Stop a run whose start got no answer; it may still take effect."""
+    task = find_placed(cluster, order)
+    worker = cluster.workers.get(order.worker)
+    if task is None or worker is None:
+        return []
+    note_refusal(worker, now)
+    return request_stop(cluster, task, now)
+
+
+def apply_stop_answer(cluster: Cluster, order: StopTask, now: float) -> None:
+    """Note that a stopped run can't start any more.
+
+    What was running is listed as an end; what is neither listed as running nor as
+    ended afterwards never ran.
+    """
+    task = find_placed(cluster, order)
+    if task is not None and task.settled_at is None:
+        task.settled_at = now
--- /dev/null
+++ b/geraniumwell/commands/batch/ends.py
@@ -0,0 +1,171 @@
+"""Ends of runs and reports of workers, applied to the state of jobs."""
+
+from geraniumwell.commands.batch.health import note_failure, note_success
+from geraniumwell.commands.batch.lifecycle import (
+    end_job,
+    find_step,
+    find_task,
+    release_task,
+    settle_job,
+)
+from geraniumwell.model.batch.cluster import Cluster, Order, StopTask
+from geraniumwell.model.batch.job import (
+    ENDED_STATES,
+    PLACED_PHASES,
+    Job,
+    JobState,
+    Phase,
+    StepRun,
+    Task,
+)
+from geraniumwell.model.batch.worker import (
+    EndedTask,
+    EndKind,
+    RunningTask,
+    Worker,
+    WorkerReport,
+)
+
+
+def apply_report(
+    cluster: Cluster,
+    worker: Worker,
+    report: WorkerReport,
+    sent_at: float,
+    now: float,
+    wall_now: float,
+) -> list[Order]:
+    """Apply all that a worker reports; return the orders that follow.
+
+    Parameters
+    ----------
+    sent_at : float
+        Time at which the worker was asked; what was settled before and is not in
+        the report no longer exists.
+    """
+    note_life(cluster, worker, report.started_ms)
+    worker.clock_ms, worker.clock_at = report.clock_ms, now
+    worker.is_fenced, worker.is_silent = True, False
+    orders: list[Order] = []
+    for end in report.ended:
+        orders += apply_end(cluster, worker, end, now, wall_now)
+    worker.has_foreign = False
+    for running in report.running:
+        orders += apply_running(worker, running, now)
+    listed = {(item.id, item.run) for item in report.running}
+    for task in list(worker.tasks.values()):
+        if (task.id, task.run) in listed:
+            continue
+        if task.phase is Phase.DONE:
+            release_task(cluster, task)
+        elif task.settled_at is not None and task.settled_at < sent_at:
+            release_task(cluster, task)
+            note_broken(cluster, task, now)
+    return orders
+
+
+def note_life(cluster: Cluster, worker: Worker, started_ms: int) -> None:
+    """Release all tasks of a worker that started anew."""
+    if not started_ms or worker.started_ms == started_ms:
+        return
+    if worker.started_ms:
+        for task in list(worker.tasks.values()):
+            release_task(cluster, task)
+        worker.seen = worker.saved = worker.acknowledged = 0
+        worker.is_fenced = False
+        worker.has_foreign = False
+    worker.started_ms = started_ms
+
+
+def apply_running(worker: Worker, item: RunningTask, now: float) -> list[Order]:
+    """Note the progress of a run; a run that should not be there is stopped."""
+    task = worker.tasks.get(item.id)
+    if task is not None and task.phase is Phase.DONE:
+        return []
+    if task is None or task.run != item.run or task.phase not in PLACED_PHASES:
+        worker.has_foreign = True
+        return [StopTask(worker.entry.id, item.id, item.run)]
+    if item.checkpoint:
+        task.checkpoint = item.checkpoint
+    if item.percent != task.progress or not task.progressed_at:
+        task.progress, task.progressed_at = item.percent, now
+    task.usage = item.usage
+    if task.settled_at is None:
+        task.settled_at = now
+    if task.phase is Phase.STARTING:
+        task.phase = Phase.RUNNING
+    return []
+
+
+def apply_end(
+    cluster: Cluster, worker: Worker, end: EndedTask, now: float, wall_now: float
+) -> list[Order]:
+    """Apply one end that a worker lists; ends of earlier runs change nothing."""
+    worker.seen = max(worker.seen, end.number)
+    task = find_task(cluster, end.id)
+    if task is None or task.worker != worker.entry.id or task.run != end.run:
+        return []
+    is_placed = task.phase in PLACED_PHASES
+    release_task(cluster, task)
+    if not is_placed:
+        return []
+    job = cluster.jobs[end.id.job]
+    step = find_step(job, end.id)
+    assert step is not None
+    if end.checkpoint:
+        task.checkpoint = end.checkpoint
+    match end.kind:
+        case EndKind.DONE:
+            note_success(worker)
+            _apply_done(cluster, job, step, task, wall_now)
+        case EndKind.FAILED:
+            note_failure(worker, task, now)
+            note_broken(cluster, task, now)
+            return _apply_failure(cluster, job, step, task, end.run, now, wall_now)
+        case EndKind.STOPPED | EndKind.LAPSED | EndKind.BROKEN | EndKind.ALONE:
+            note_broken(cluster, task, now)
+    return []
+
+
+def note_broken(cluster: Cluster, task: Task, now: float) -> None:
+    """Remember when a gang lost its first member."""
+    job = cluster.jobs.get(task.id.job)
+    step = find_step(job, task.id) if job else None
+    if step is not None and step.spec.is_gang and not step.broken_at:
+        step.broken_at = now
+
+
+def _apply_done(
+    cluster: Cluster, job: Job, step: StepRun, task: Task, wall_now: float
+) -> None:
+    """Mark a task as done, and with it all members of its gang."""
+    tasks = step.tasks if step.spec.is_gang else [task]
+    for member in tasks:
+        # Its place is freed when its own worker lists the end.
+        member.phase = Phase.DONE
+    if job.state not in ENDED_STATES:
+        settle_job(cluster, job, step.occurrence, wall_now)
+
+
+def _apply_failure(
+    cluster: Cluster,
+    job: Job,
+    step: StepRun,
+    task: Task,
+    run: int,
+    now: float,
+    wall_now: float,
+) -> list[Order]:
+    """Count a failed run; fail the job when the attempts are used up."""
+    if step.spec.is_long_running or job.state in ENDED_STATES:
+        return []
+    task.failures += 1
+    failures = task.failures
+    if step.spec.is_gang:
+        if step.failed_run != run:
+            step.failed_run = run
+            step.gang_failures += 1
+        failures = step.gang_failures
+    if failures < job.spec.max_attempts:
+        return []
+    return end_job(cluster, job, JobState.FAILED, wall_now, now)
--- /dev/null
+++ b/geraniumwell/commands/batch/evacuation.py
@@ -0,0 +1,53 @@
+"""Moves tasks away from workers that are about to leave."""
+
+from geraniumwell.commands.batch.lifecycle import request_stop
+from geraniumwell.commands.batch.reclaim import list_gang
+from geraniumwell.commands.batch.room import find_step_spec
+from geraniumwell.model.batch.cluster import Cluster, Order
+from geraniumwell.model.batch.job import Phase, Task
+from geraniumwell.model.batch.worker import Worker, WorkerState
+
+# A worker that does not tell how long it stays is taken to leave this soon.
+DEFAULT_STAY_SECONDS = 2.0
+# Time that a stop takes before the worker leaves.
+STOP_LEAD_SECONDS = 1.0
+# Below this progress its rate says little about the time left.
+RATED_PERCENT = 5
+
+
+def evacuate(cluster: Cluster, now: float) -> list[Order]:
+    """Return the stops of tasks that would not end before their worker leaves."""
+    orders: list[Order] = []
+    for worker in cluster.workers.values():
+        if worker.state is not WorkerState.DRAINING:
+            continue
+        for task in list(worker.tasks.values()):
+            if task.phase is Phase.RUNNING and is_cut_short(cluster, worker, task, now):
+                for member in list_gang(cluster, task):
+                    orders += request_stop(cluster, member, now)
+    return orders
+
+
+def is_cut_short(cluster: Cluster, worker: Worker, task: Task, now: float) -> bool:
+    """Tell whether a task should move, because its worker leaves too soon."""
+    spec = find_step_spec(cluster, task.id)
+    stay = worker.entry.remaining_seconds
+    leaves_at = worker.drain_at + (DEFAULT_STAY_SECONDS if stay is None else stay)
+    if spec.is_long_running:
+        return True
+    if now + estimate_rest(task, spec.estimate_seconds, now) <= leaves_at:
+        return False
+    if spec.has_checkpoints:
+        # What is done until just before the worker leaves is not lost.
+        return now >= leaves_at - STOP_LEAD_SECONDS
+    return True
+
+
+def estimate_rest(task: Task, estimate_seconds: float, now: float) -> float:
+    """Return the estimated time that a running task still takes, in seconds."""
+    elapsed = now - task.started_at
+    if task.progress < RATED_PERCENT:
+        return max(0.0, estimate_seconds - elapsed)
+    heard = max(0.0, task.progressed_at - task.started_at)
+    total = heard * 100 / task.progress
+    return max(0.0, total - elapsed)
--- /dev/null
+++ b/geraniumwell/commands/batch/health.py
@@ -0,0 +1,41 @@
+"""Tells bad workers and bad jobs apart by how runs end."""
+
+from geraniumwell.model.batch.job import Task
+from geraniumwell.model.batch.worker import Worker
+
+# One failure may be the task's own fault; a second in a row of other work is not.
+SUSPECT_FAILURES = 2
+AVOID_SECONDS = 4.0
+AVOID_LIMIT_SECONDS = 30.0
+# Time without a refused order before a worker that refused one is tried again.
+REFUSED_SECONDS = 1.5
+
+
+def note_success(worker: Worker) -> None:
+    """Clear the suspicion against a worker on which a task was done."""
+    worker.failures = 0
+    worker.avoid_until = 0.0
+
+
+def note_failure(worker: Worker, task: Task, now: float) -> None:
+    """Count a failed run against its worker, unless it failed elsewhere too."""
+    failed_elsewhere = any(other != worker.entry.id for other in task.failed_on)
+    task.failed_on = (*task.failed_on, worker.entry.id)
+    if failed_elsewhere:
+        return
+    worker.failures += 1
+    if worker.failures < SUSPECT_FAILURES:
+        return
+    wait = AVOID_SECONDS * 2 ** (worker.failures - SUSPECT_FAILURES)
+    worker.avoid_until = now + min(wait, AVOID_LIMIT_SECONDS)
+
+
+def note_stall(worker: Worker, now: float) -> None:
+    """Avoid a worker on which a task stood still."""
+    worker.failures = max(worker.failures + 1, SUSPECT_FAILURES)
+    worker.avoid_until = now + AVOID_LIMIT_SECONDS
+
+
+def note_refusal(worker: Worker, now: float) -> None:
+    """Avoid a worker that refused an order, for a short time."""
+    worker.avoid_until = max(worker.avoid_until, now + REFUSED_SECONDS)
--- /dev/null
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -0,0 +1,138 @@
+"""Life of a job: acceptance, occurrences, cancellation and its end."""
+
+from geraniumwell.model.batch.cluster import Cluster, Order, StopTask
+from geraniumwell.model.batch.job import (
+    ENDED_STATES,
+    Job,
+    JobSpec,
+    JobState,
+    Phase,
+    StepRun,
+    Task,
+    TaskId,
+    open_occurrence,
+)
+
+
+def add_job(cluster: Cluster, spec: JobSpec, wall_now: float) -> None:
+    """Take an accepted job up, unless it is known."""
+    if spec.id in cluster.jobs:
+        return
+    job = Job(spec)
+    cluster.jobs[spec.id] = job
+    if spec.id in cluster.early_cancels:
+        cluster.early_cancels.discard(spec.id)
+        end_job(cluster, job, JobState.CANCELLED, wall_now)
+        return
+    open_due_occurrences(job, wall_now)
+
+
+def cancel_job(
+    cluster: Cluster, job_id: str, now: float, wall_now: float
+) -> list[Order]:
+    """End a job at its caller's wish; return the stops that it takes."""
+    job = cluster.jobs.get(job_id)
+    if job is None:
+        cluster.early_cancels.add(job_id)
+        return []
+    if job.state in ENDED_STATES:
+        return []
+    return end_job(cluster, job, JobState.CANCELLED, wall_now, now)
+
+
+def end_job(
+    cluster: Cluster,
+    job: Job,
+    state: JobState,
+    wall_now: float,
+    now: float = 0.0,
+) -> list[Order]:
+    """Give a job its final state; return the stops of what still runs."""
+    job.state = state
+    job.ended_at = wall_now
+    cluster.changed.add(job.spec.id)
+    orders: list[Order] = []
+    for step in job.steps.values():
+        for task in step.tasks:
+            orders += request_stop(cluster, task, now)
+    return orders
+
+
+def open_due_occurrences(job: Job, wall_now: float) -> None:
+    """Make the steps of each occurrence whose time has come."""
+    spec = job.spec
+    while job.opened < spec.occurrences:
+        if wall_now < spec.first_due + job.opened * spec.period_seconds:
+            return
+        open_occurrence(job, job.opened)
+        job.opened += 1
+
+
+def find_step(job: Job, task_id: TaskId) -> StepRun | None:
+    """Return the step of a task, or None where it is not kept."""
+    return job.steps.get((task_id.occurrence, task_id.step))
+
+
+def find_task(cluster: Cluster, task_id: TaskId) -> Task | None:
+    """Return a task by its name, or None where it is not kept."""
+    job = cluster.jobs.get(task_id.job)
+    step = find_step(job, task_id) if job else None
+    if step is None or task_id.index >= len(step.tasks):
+        return None
+    return step.tasks[task_id.index]
+
+
+def is_step_open(job: Job, step: StepRun) -> bool:
+    """Tell whether all steps that come before are done."""
+    return all(job.steps[step.occurrence, k].is_done() for k in step.spec.after)
+
+
+def settle_job(cluster: Cluster, job: Job, occurrence: int, wall_now: float) -> None:
+    """Close an occurrence, and the job, once all of its tasks are done."""
+    steps = [job.steps[occurrence, k] for k in range(len(job.spec.steps))]
+    if not all(step.is_done() for step in steps):
+        return
+    job.finished.add(occurrence)
+    if len(job.finished) == job.spec.occurrences and job.state not in ENDED_STATES:
+        end_job(cluster, job, JobState.DONE, wall_now)
+
+
+def request_stop(cluster: Cluster, task: Task, now: float) -> list[Order]:
+    """Begin to stop a task; a start that was not sent is taken back at once."""
+    if task.phase is Phase.STARTING and not task.is_order_sent:
+        release_task(cluster, task)
+        return []
+    if task.phase not in (Phase.STARTING, Phase.RUNNING):
+        return []
+    task.phase = Phase.STOPPING
+    task.stopped_at = now
+    return [StopTask(task.worker, task.id, task.run)]
+
+
+def release_task(cluster: Cluster, task: Task) -> None:
+    """Free the place of a task that no longer runs, and let it wait."""
+    worker = cluster.workers.get(task.worker)
+    if worker is not None:
+        worker.tasks.pop(task.id, None)
+    if task.phase not in (Phase.DONE, Phase.FAILED):
+        task.phase = Phase.WAITING
+    task.worker = ""
+    task.settled_at = None
+    task.is_order_sent = False
+    task.stopped_at = None
+    cluster.changed.add(task.id.job)
+
+
+def forget_old_jobs(cluster: Cluster, wall_now: float) -> list[str]:
+    """Drop jobs whose result was kept long enough; return their ids."""
+    keep = cluster.policy.result_seconds
+    old = [
+        job_id
+        for job_id, job in cluster.jobs.items()
+        if job.state in ENDED_STATES
+        and wall_now - job.ended_at > keep * 2
+        and job_id not in cluster.changed
+    ]
+    for job_id in old:
+        del cluster.jobs[job_id]
+    return old
--- /dev/null
+++ b/geraniumwell/commands/batch/reclaim.py
@@ -0,0 +1,157 @@
+"""Room for guaranteed work: which running tasks are stopped for it."""
+
+from dataclasses import dataclass, field
+
+from geraniumwell.commands.batch.lifecycle import find_step
+from geraniumwell.commands.batch.room import (
+    Room,
+    count_fitting,
+    find_needs,
+    find_step_spec,
+    is_suitable,
+    limit_of_step,
+)
+from geraniumwell.model.batch.cluster import Cluster, Unit
+from geraniumwell.model.batch.job import ENDED_STATES, Phase, Task, TaskId
+
+# A task in several racks is slow, so room in one rack may cost this much more work.
+FAR_COST_FACTOR = 4.0
+# A stop of a task with checkpoints loses little more than its restart.
+CHECKPOINT_LOSS_SECONDS = 0.5
+# An accelerator counts as this many cores when work is weighed.
+CORES_PER_ACCELERATOR = 8
+URGENT_PRIORITY = 0
+
+
+@dataclass(slots=True)
+class Eviction:
+    """Workers for a unit, and what has to be stopped there first."""
+
+    places: list[tuple[Room, int]] = field(default_factory=list)
+    victims: list[Task] = field(default_factory=list)
+    cost: float = 0.0
+
+
+def count_urgent_use(cluster: Cluster) -> dict[str, int]:
+    """Return the accelerators in urgent use for each organisation."""
+    use: dict[str, int] = {}
+    for worker in cluster.workers.values():
+        for task in worker.tasks.values():
+            job = cluster.jobs[task.id.job]
+            if find_priority(cluster, task.id) == URGENT_PRIORITY:
+                needs = find_step_spec(cluster, task.id).needs
+                org = job.spec.organisation
+                use[org] = use.get(org, 0) + needs.accelerators
+    return use
+
+
+def find_priority(cluster: Cluster, task_id: TaskId) -> int:
+    """Return the priority of a task's queue."""
+    spec = cluster.jobs[task_id.job].spec
+    queue = cluster.catalog.queue_by_name.get(spec.queue)
+    return queue.priority if queue else spec.priority
+
+
+def is_guaranteed(cluster: Cluster, unit: Unit, use: dict[str, int]) -> bool:
+    """Tell whether a unit lies within the guarantee of its organisation."""
+    org = cluster.catalog.organisations.get(unit.organisation)
+    if unit.priority != URGENT_PRIORITY or org is None:
+        return False
+    wanted = unit.spec.needs.accelerators * len(unit.ids)
+    return use.get(unit.organisation, 0) + wanted <= org.guaranteed_accelerators
+
+
+def find_eviction(
+    cluster: Cluster, rooms: list[Room], unit: Unit, now: float
+) -> Eviction | None:
+    """Return the cheapest way to make room for a whole unit, or None."""
+    suitable = [room for room in rooms if is_suitable(room, unit)]
+    best = evict_among(cluster, suitable, unit, now)
+    if not (unit.spec.is_same_rack or unit.spec.rack):
+        return best
+    for rack in sorted({room.worker.entry.rack for room in suitable}):
+        if unit.spec.rack and rack != unit.spec.rack:
+            continue
+        near = [room for room in suitable if room.worker.entry.rack == rack]
+        found = evict_among(cluster, near, unit, now)
+        if found and (best is None or found.cost <= best.cost * FAR_COST_FACTOR):
+            best = found
+    return best
+
+
+def evict_among(
+    cluster: Cluster, rooms: list[Room], unit: Unit, now: float
+) -> Eviction | None:
+    """Return the cheapest way among some workers, found one worker at a time."""
+    options = [
+        (option.cost / option.places[0][1], index, option)
+        for index, room in enumerate(rooms)
+        if (option := evict_on(cluster, room, unit, now))
+    ]
+    options.sort(key=lambda item: item[:2])
+    total = Eviction()
+    left = len(unit.ids)
+    for _, _, option in options:
+        room, count = option.places[0]
+        taken = min(count, left)
+        total.places.append((room, taken))
+        total.victims += option.victims
+        total.cost += option.cost
+        left -= taken
+        if not left:
+            return total
+    return None
+
+
+def evict_on(cluster: Cluster, room: Room, unit: Unit, now: float) -> Eviction | None:
+    """Return the cheapest way to fit a task of a unit on one worker, or None."""
+    needs = find_needs(unit.spec)
+    most = min(len(unit.ids), limit_of_step(room, unit))
+    amount = room.later.copy()
+    victims: list[Task] = []
+    cost = 0.0
+    if count := count_fitting(amount, needs, most):
+        return Eviction([(room, count)], [], 0.0)
+    candidates = sorted(
+        (weigh_loss(cluster, task, now), str(task.id), task)
+        for task in room.worker.tasks.values()
+        if is_evictable(cluster, task)
+    )
+    for loss, _, task in candidates:
+        amount.add(find_needs(find_step_spec(cluster, task.id)))
+        victims.append(task)
+        cost += loss
+        if count := count_fitting(amount, needs, most):
+            return Eviction([(room, count)], victims, cost)
+    return None
+
+
+def is_evictable(cluster: Cluster, task: Task) -> bool:
+    """Tell whether guaranteed work of another may take a task's place."""
+    if task.phase not in (Phase.STARTING, Phase.RUNNING):
+        return False
+    spec = find_step_spec(cluster, task.id)
+    if spec.is_long_running and not spec.is_filler:
+        return False
+    return find_priority(cluster, task.id) != URGENT_PRIORITY
+
+
+def list_gang(cluster: Cluster, task: Task) -> list[Task]:
+    """Return a task with all members of its gang."""
+    job = cluster.jobs[task.id.job]
+    step = find_step(job, task.id)
+    if step is None or not step.spec.is_gang or job.state in ENDED_STATES:
+        return [task]
+    return step.tasks
+
+
+def weigh_loss(cluster: Cluster, task: Task, now: float) -> float:
+    """Return the core-seconds that are lost if a task, or its gang, is stopped."""
+    spec = find_step_spec(cluster, task.id)
+    needs = spec.needs
+    cores = needs.cpu_millis / 1000 + needs.accelerators * CORES_PER_ACCELERATOR
+    started = task.started_at or now
+    seconds = now - started
+    if spec.has_checkpoints:
+        seconds = min(seconds, CHECKPOINT_LOSS_SECONDS)
+    return cores * seconds * len(list_gang(cluster, task))
--- /dev/null
+++ b/geraniumwell/commands/batch/registry.py
@@ -0,0 +1,92 @@
+"""Entries of the platform's registry, applied to the state of workers."""
+
+from geraniumwell.commands.batch.ends import note_life
+from geraniumwell.commands.batch.leases import bound_unknown_lease
+from geraniumwell.model.batch.cluster import Cluster
+from geraniumwell.model.batch.job import Job, Task
+from geraniumwell.model.batch.resources import Resources
+from geraniumwell.model.batch.worker import Worker, WorkerEntry, WorkerState
+
+
+def apply_entry(cluster: Cluster, entry: WorkerEntry, now: float) -> None:
+    """Take up a new or changed entry."""
+    worker = cluster.workers.get(entry.id)
+    if worker is None:
+        worker = Worker(entry, started_ms=entry.started_ms)
+        cluster.workers[entry.id] = worker
+    if entry.started_ms > worker.started_ms:
+        note_life(cluster, worker, entry.started_ms)
+    was_draining = worker.state is WorkerState.DRAINING
+    worker.entry = entry
+    worker.state = WorkerState.DRAINING if entry.is_draining else WorkerState.READY
+    if entry.is_draining and not was_draining:
+        worker.drain_at = now
+
+
+def apply_absence(cluster: Cluster, worker_id: str) -> bool:
+    """Take note that an entry is gone; return whether the worker was forgotten.
+
+    What runs there may go on until its lease lapses, so a worker with tasks is kept.
+    """
+    worker = cluster.workers.get(worker_id)
+    if worker is None:
+        return False
+    worker.state = WorkerState.GONE
+    if worker.tasks:
+        return False
+    del cluster.workers[worker_id]
+    return True
+
+
+def apply_all_entries(
+    cluster: Cluster, entries: list[WorkerEntry], now: float
+) -> list[str]:
+    """Take up a whole reading of the registry; return the forgotten workers."""
+    for entry in entries:
+        apply_entry(cluster, entry, now)
+    known = {entry.id for entry in entries}
+    return [
+        worker_id
+        for worker_id in list(cluster.workers)
+        if worker_id not in known and apply_absence(cluster, worker_id)
+    ]
+
+
+def forget_gone_workers(cluster: Cluster) -> list[str]:
+    """Drop workers that left the registry and run nothing; return their ids."""
+    gone = [
+        worker_id
+        for worker_id, worker in cluster.workers.items()
+        if worker.state is WorkerState.GONE and not worker.tasks
+    ]
+    for worker_id in gone:
+        del cluster.workers[worker_id]
+    return gone
+
+
+def restore_job(cluster: Cluster, job: Job, now: float) -> None:
+    """Take up a stored job; what it says to be placed may still run."""
+    cluster.jobs[job.spec.id] = job
+    for step in job.steps.values():
+        for task in step.tasks:
+            if task.worker:
+                restore_task(cluster, task, now)
+
+
+def restore_task(cluster: Cluster, task: Task, now: float) -> None:
+    """Put a stored task back on its worker.
+
+    The first look under the new epoch tells whether it runs: from then on no start of
+    an earlier scheduler takes effect there.
+    """
+    worker = cluster.workers.get(task.worker)
+    if worker is None:
+        entry = WorkerEntry(
+            task.worker, "", "", "", Resources(), frozenset(), "", False
+        )
+        worker = Worker(entry, WorkerState.GONE)
+        cluster.workers[task.worker] = worker
+    worker.tasks[task.id] = task
+    worker.lease_until = bound_unknown_lease(cluster.policy, now)
+    task.settled_at = task.started_at = task.progressed_at = now
+    task.is_order_sent = True
--- a/geraniumwell/const.py
+++ b/geraniumwell/const.py
@@ -83,3 +83,9 @@
 
 STATEMENT_PEER_SECONDS: Final = 3.0
 STATEMENT_SECONDS: Final = 10.0
+
+# Tables and keys of the batch service in the platform's store.
+TABLE_CONTROL: Final = "gw-control"
+TABLE_JOBS: Final = "gw-jobs"
+TABLE_PROGRESS: Final = "gw-progress"
+LEADER_KEY: Final = "leader"
--- /dev/null
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -0,0 +1,34 @@
+"""Metrics of the batch service; label values come from bounded sets only."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+CALLS = Counter(
+    "geraniumwell_batch_calls",
+    "Calls of callers by operation and outcome.",
+    ("operation", "outcome"),
+)
+CALL_SECONDS = Histogram(
+    "geraniumwell_batch_call_seconds",
+    "Time of a caller's call, by operation.",
+    ("operation",),
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0),
+)
+ORDERS = Counter(
+    "geraniumwell_batch_orders",
+    "Orders to workers by kind and result.",
+    ("kind", "result"),
+)
+ENDS = Counter("geraniumwell_batch_ends", "Ends of runs by kind.", ("kind",))
+PLAN_SECONDS = Histogram(
+    "geraniumwell_batch_plan_seconds",
+    "Time of a round of planning.",
+    buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5),
+)
+WAITING = Gauge("geraniumwell_batch_jobs_waiting", "Jobs that have not begun.")
+RUNNING = Gauge("geraniumwell_batch_tasks_placed", "Tasks that hold a place.")
+CLAIMS = Counter(
+    "geraniumwell_batch_claims", "Claims of the schedule, by result.", ("result",)
+)
+IS_SCHEDULING = Gauge(
+    "geraniumwell_batch_is_scheduling", "1 while this daemon schedules, else 0."
+)
--- /dev/null
+++ b/geraniumwell/messages/batch.py
@@ -0,0 +1,228 @@
+"""Messages between the actors of the batch service."""
+
+from dataclasses import dataclass
+
+from pykka import ActorRef
+
+from geraniumwell.clients.table import (
+    Committed,
+    Conflict,
+    RowRange,
+    StoredRow,
+    TableTransaction,
+)
+from geraniumwell.clients.task_worker import Look, StartAnswer
+from geraniumwell.model.batch.catalog import Catalog
+from geraniumwell.model.batch.cluster import StartTask, StopTask
+from geraniumwell.model.batch.leader import LeaderRow
+from geraniumwell.model.batch.worker import WorkerReport
+
+
+@dataclass(slots=True, frozen=True)
+class CommitRows:
+    """Ask a store link for a transaction; ``number`` returns with the answer."""
+
+    number: int
+    transaction: TableTransaction
+
+
+@dataclass(slots=True, frozen=True)
+class RowsCommitted:
+    """The store answered a transaction."""
+
+    number: int
+    result: Committed | Conflict
+
+
+@dataclass(slots=True, frozen=True)
+class CommitFailed:
+    """The store did not answer a transaction, or refused it."""
+
+    number: int
+    code: str
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class LoadTables:
+    """Ask a store link for all rows of some tables."""
+
+    tables: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class TablesLoaded:
+    """All rows of some tables."""
+
+    ranges: dict[str, RowRange]
+
+
+@dataclass(slots=True, frozen=True)
+class LoadFailed:
+    """Some table could not be read."""
+
+    code: str
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class FollowTable:
+    """Tell a feed to follow a table from a version on; None reads it whole first."""
+
+    after: int | None
+
+
+@dataclass(slots=True, frozen=True)
+class TableReset:
+    """All rows of a followed table, because changes were missed."""
+
+    table: str
+    rows: tuple[StoredRow, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class TableChanged:
+    """Changed rows of a followed table; none if only time has passed."""
+
+    table: str
+    rows: tuple[StoredRow, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class TableSilent:
+    """A followed table can't be read at present."""
+
+    table: str
+    code: str
+
+
+@dataclass(slots=True, frozen=True)
+class CatalogChanged:
+    """A new version of the configuration is in force."""
+
+    catalog: Catalog
+
+
+@dataclass(slots=True, frozen=True)
+class AskCatalog:
+    """Ask for the configuration in force."""
+
+
+@dataclass(slots=True, frozen=True)
+class AskBatchReadiness:
+    """Ask whether this daemon can take jobs."""
+
+
+@dataclass(slots=True, frozen=True)
+class AskPending:
+    """Ask for the numbers of jobs that have not begun, by queue."""
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """A claim that the store has confirmed."""
+
+    row: LeaderRow
+    version: int
+    sent_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Deposed:
+    """The scheduler of an epoch has ended."""
+
+    epoch: int
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Retire:
+    """Give the claim up and do not claim again."""
+
+
+@dataclass(slots=True, frozen=True)
+class SendLook:
+    """Ask a link to look at its worker; not after ``send_by``."""
+
+    look: Look
+    send_by: float
+
+
+@dataclass(slots=True, frozen=True)
+class WorkerSeen:
+    """A worker answered a look that was sent at ``sent_at``."""
+
+    worker: str
+    look: Look
+    report: WorkerReport
+    sent_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class WorkerNotSeen:
+    """A worker did not answer a look."""
+
+    worker: str
+    code: str
+
+
+@dataclass(slots=True, frozen=True)
+class SendStart:
+    """Ask a link for a start; not after ``send_by``."""
+
+    order: StartTask
+    deadline_ms: int
+    send_by: float
+
+
+@dataclass(slots=True, frozen=True)
+class StartAnswered:
+    """A worker answered a start."""
+
+    order: StartTask
+    answer: StartAnswer
+
+
+@dataclass(slots=True, frozen=True)
+class StartNotSent:
+    """A start never left this daemon."""
+
+    order: StartTask
+    code: str
+
+
+@dataclass(slots=True, frozen=True)
+class StartLost:
+    """A start got no answer; it may have been carried out or may be later."""
+
+    order: StartTask
+    code: str
+
+
+@dataclass(slots=True, frozen=True)
+class SendStop:
+    """Ask a link for a stop."""
+
+    order: StopTask
+
+
+@dataclass(slots=True, frozen=True)
+class StopAnswered:
+    """A worker took a stop note of."""
+
+    order: StopTask
+
+
+@dataclass(slots=True, frozen=True)
+class StopLost:
+    """A stop got no answer."""
+
+    order: StopTask
+    code: str
+
+
+@dataclass(slots=True, frozen=True)
+class CatalogSubscription:
+    """Ask to be told of each new configuration."""
+
+    subscriber: ActorRef
--- /dev/null
+++ b/geraniumwell/platform/daemon.py
@@ -0,0 +1,178 @@
+"""Assembly of the entry daemon on the users' platform."""
+
+from collections.abc import Callable, Iterable
+from threading import Event, Thread
+from typing import Any, Final
+
+from prometheus_client import REGISTRY, generate_latest
+from pykka import ActorDeadError, ActorRef, ActorRegistry, Timeout
+from waitress.server import create_server
+
+from geraniumwell.actors.batch.catalog_keeper import CatalogKeeper
+from geraniumwell.actors.batch.elector import Elector
+from geraniumwell.actors.batch.job_desk import JobDesk
+from geraniumwell.actors.batch.scheduler import SchedulerParts
+from geraniumwell.actors.batch.table_feed import TableFeed
+from geraniumwell.actors.draining_server import DrainingServer
+from geraniumwell.actors.ticker import Ticker
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.messages.batch import (
+    AskBatchReadiness,
+    CatalogSubscription,
+    FollowTable,
+    Retire,
+)
+from geraniumwell.model.batch.cluster import BatchPolicy
+from geraniumwell.platform.decode import decode_catalog, decode_entry
+from geraniumwell.platform.front import FrontApp
+from geraniumwell.platform.settings import PlatformSettings
+from geraniumwell.platform.store import HttpTableClient
+from geraniumwell.platform.workers import HttpTaskWorkerClient
+from geraniumwell.util.ids import make_token_hex
+
+TABLE_OPERATOR: Final = "op"
+KEY_CONFIG: Final = "config"
+TABLE_REGISTRY: Final = "servers"
+# A silent connection must show before a change of the configuration is overdue.
+CONFIG_WAIT_SECONDS: Final = 1.0
+CONFIG_READ_SECONDS: Final = 0.6
+FRONT_THREADS: Final = 16
+CONNECTION_LIMIT: Final = 1_000
+BODY_LIMIT_BYTES: Final = 1_048_576
+# The balancer looks once a second and needs two misses.
+STOP_NOTICE_SECONDS: Final = 2.2
+# Callers' calls take up to some 2 s when the store is silent.
+DRAIN_SECONDS: Final = 2.2
+READINESS_SECONDS: Final = 0.5
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class SideApp:
+    """Answers the balancer's look at this daemon, and scrapes of its metrics."""
+
+    __slots__ = ("_is_stopping", "_keeper")
+
+    def __init__(self, keeper: ActorRef, is_stopping: Event) -> None:
+        self._keeper = keeper
+        self._is_stopping = is_stopping
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        match environ["PATH_INFO"]:
+            case "/metrics":
+                status, body = "200 OK", generate_latest(REGISTRY)
+            case "/ready" if self._is_ready():
+                status, body = "200 OK", b"{}"
+            case "/ready":
+                status, body = "503 Service Unavailable", b"{}"
+            case _:
+                status, body = "404 Not Found", b"{}"
+        start_response(status, [("Content-Length", str(len(body)))])
+        return [body]
+
+    def _is_ready(self) -> bool:
+        if self._is_stopping.is_set():
+            return False
+        try:
+            return self._keeper.ask(AskBatchReadiness(), timeout=READINESS_SECONDS)
+        except (Timeout, ActorDeadError):
+            return False
+
+
+class PlatformDaemon:
+    """All parts of one daemon on the platform."""
+
+    __slots__ = (
+        "_cfg",
+        "_elector",
+        "_front",
+        "_front_thread",
+        "_is_stopping",
+        "_side",
+        "_ticker",
+        "_wake",
+    )
+
+    def __init__(self, cfg: PlatformSettings) -> None:
+        self._cfg = cfg
+        self._is_stopping = Event()
+        self._wake = Event()
+        self._ticker = Ticker()
+        keeper = CatalogKeeper.start(KEY_CONFIG, decode_catalog)
+        parts = make_parts(cfg, self._ticker)
+        self._elector: ActorRef = Elector.start(f"{cfg.vm}/{make_token_hex(4)}", parts)
+        keeper.tell(CatalogSubscription(self._elector))
+        feed = TableFeed.start(
+            HttpTableClient(cfg.store, CONFIG_READ_SECONDS),
+            TABLE_OPERATOR,
+            keeper,
+            self._ticker,
+            CONFIG_WAIT_SECONDS,
+        )
+        feed.tell(FollowTable(None))
+        desk = JobDesk(parts.make_store)
+        self._front = DrainingServer(
+            FrontApp(desk, keeper, self._elector),
+            listen=cfg.callers,
+            threads=FRONT_THREADS,
+            connection_limit=CONNECTION_LIMIT,
+            max_request_body_size=BODY_LIMIT_BYTES,
+            inbuf_overflow=BODY_LIMIT_BYTES * 2,
+            asyncore_use_poll=True,
+            clear_untrusted_proxy_headers=False,
+            ident=None,
+        )
+        self._side = create_server(
+            SideApp(keeper, self._is_stopping),
+            listen=f"{cfg.readiness} {cfg.metrics}",
+            threads=1,
+            asyncore_use_poll=True,
+            ident=None,
+        )
+        self._front_thread = Thread(target=self._front.run, name="callers", daemon=True)
+
+    def run(self) -> None:
+        """Serve until ``request_stop`` is called."""
+        self._ticker.start()
+        self._front_thread.start()
+        Thread(target=self._side.run, name="side", daemon=True).start()
+        EVENTS.write("daemon_started", vm=self._cfg.vm, callers=self._cfg.callers)
+        self._wake.wait()
+        self._stop()
+
+    def request_stop(self) -> None:
+        """Ask ``run`` to stop; may be called from a signal handler."""
+        self._is_stopping.set()
+        self._wake.set()
+
+    def _stop(self) -> None:
+        """Hand the schedule over, let the balancer see the stop, then drain."""
+        EVENTS.write("daemon_stopping")
+        self._elector.tell(Retire())
+        Event().wait(STOP_NOTICE_SECONDS)
+        self._front.request_drain()
+        self._front_thread.join(DRAIN_SECONDS)
+        EVENTS.write("daemon_stopped", is_drained=not self._front_thread.is_alive())
+        ActorRegistry.stop_all(block=False)
+
+
+def make_parts(cfg: PlatformSettings, ticker: Ticker) -> SchedulerParts:
+    """Return what the scheduler needs of the platform."""
+    policy = BatchPolicy(
+        cfg.lease_limit_ms / 1000,
+        cfg.far_factor,
+        cfg.stop_limit_ms / 1000,
+        cfg.gang_limit_ms / 1000,
+        cfg.result_seconds,
+        cfg.reclaim_limit_ms / 1000,
+    )
+    return SchedulerParts(
+        policy,
+        ticker,
+        lambda: HttpTableClient(cfg.store),
+        HttpTaskWorkerClient,
+        TABLE_REGISTRY,
+        decode_entry,
+    )
--- /dev/null
+++ b/geraniumwell/platform/decode.py
@@ -0,0 +1,221 @@
+"""Translation of the platform's bodies into this project's types and back."""
+
+from typing import Any
+
+from geraniumwell.codec.json import CodecError
+from geraniumwell.model.batch.catalog import (
+    Advisory,
+    Catalog,
+    Organisation,
+    Queue,
+    Service,
+    make_catalog,
+)
+from geraniumwell.model.batch.job import JobSpec, StepSpec, TaskId
+from geraniumwell.model.batch.resources import Resources
+from geraniumwell.model.batch.worker import (
+    EndedTask,
+    EndKind,
+    RunningTask,
+    WorkerEntry,
+    WorkerReport,
+)
+from geraniumwell.platform.wire import (
+    WireConfig,
+    WireJob,
+    WireRoute,
+    WireRuns,
+    WireServer,
+    WireStep,
+    decode_wire,
+)
+
+STATES = ("ready", "draining")
+# More tasks than this would not fit into one row of progress.
+TASK_LIMIT = 2_000
+OCCURRENCE_LIMIT = 10_000
+
+
+def decode_catalog(data: bytes) -> Catalog:
+    """Return the configuration in the operator's row."""
+    wire: WireConfig = decode_wire(data, WireConfig)
+    return make_catalog(
+        wire.version,
+        tuple(_make_queue(route) for route in wire.routes),
+        tuple(
+            Organisation(t.name, frozenset(t.api_keys), t.guaranteed.gpu)
+            for t in wire.tenants
+        ),
+        tuple(Service(s.name, s.enforces_capacity, s.standby) for s in wire.services),
+        wire.limits.max_body_bytes,
+    )
+
+
+def _make_queue(route: WireRoute) -> Queue:
+    advisory = None
+    if route.advice is not None:
+        advisory = Advisory(
+            route.advice.decide_ms / 1000,
+            route.advice.interval_ms / 1000,
+            route.advice.valid_ms / 1000,
+        )
+    return Queue(
+        route.name,
+        route.host,
+        route.path_prefix,
+        route.service,
+        route.priority,
+        route.max_attempts,
+        route.timeout_ms / 1000,
+        route.target_latency_ms / 1000,
+        route.stretch,
+        route.public,
+        advisory,
+    )
+
+
+def decode_job(
+    data: bytes, job_id: str, queue: Queue, organisation: str, wall_now: float
+) -> JobSpec:
+    """Return the job in a client's body.
+
+    Raises
+    ------
+    CodecError
+        If the body holds no job that could ever run.
+    """
+    wire: WireJob = decode_wire(data, WireJob)
+    _check_job(wire)
+    is_timed = wire.repeats > 0
+    return JobSpec(
+        job_id,
+        queue.name,
+        organisation,
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        wire.spec,
+        tuple(_make_step(step) for step in wire.steps),
+        wall_now,
+        queue.target_seconds,
+        queue.stretch,
+        is_timed,
+        wire.initial_delay_ms / 1000,
+        wire.period_ms / 1000,
+        wire.repeats if is_timed else 1,
+    )
+
+
+def _check_job(wire: WireJob) -> None:
+    if not wire.steps:
+        raise CodecError("a job needs at least one step")
+    if sum(step.count for step in wire.steps) > TASK_LIMIT:
+        raise CodecError(f"a job may have {TASK_LIMIT} tasks at the most")
+    if wire.repeats > OCCURRENCE_LIMIT:
+        raise CodecError(f"a job may run {OCCURRENCE_LIMIT} times at the most")
+    for number, step in enumerate(wire.steps):
+        if step.count < 1:
+            raise CodecError(f"step {number} has no tasks")
+        if any(not 0 <= k < number for k in step.after):
+            raise CodecError(f"step {number} comes after a step that is not earlier")
+
+
+def _make_step(step: WireStep) -> StepSpec:
+    return StepSpec(
+        step.count,
+        Resources(step.cpu, step.mem_mb, step.gpu),
+        step.est_runtime_ms / 1000,
+        step.after,
+        step.gang,
+        step.same_rack,
+        step.long_running,
+        step.fills,
+        step.checkpointing,
+        step.constraints,
+        step.affinity,
+        step.anti_affinity,
+        step.image,
+        step.target_ms,
+        step.may_miss,
+    )
+
+
+def decode_entry(worker_id: str, data: bytes) -> WorkerEntry:
+    """Return the worker that a row of the registry names.
+
+    Raises
+    ------
+    CodecError
+        If the row was written by someone else and names no worker.
+    """
+    wire: WireServer = decode_wire(data, WireServer)
+    if wire.state not in STATES:
+        raise CodecError(f"worker {worker_id} has the unknown state {wire.state!r}")
+    if ":" not in wire.address:
+        raise CodecError(f"worker {worker_id} has no address")
+    stay = None if wire.remaining_ms is None else wire.remaining_ms / 1000
+    return WorkerEntry(
+        worker_id,
+        wire.service,
+        wire.address,
+        wire.zone,
+        Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu),
+        frozenset(wire.labels),
+        # The first label is the worker's kind, the last one its rack.
+        wire.labels[-1] if wire.labels else "",
+        wire.state == "draining",
+        wire.born,
+        stay,
+    )
+
+
+def format_task(task_id: TaskId) -> str:
+    """Return the name of a task on the wire."""
+    return f"{task_id.job}.{task_id.occurrence}.{task_id.step}.{task_id.index}"
+
+
+def parse_task(text: str) -> TaskId:
+    """Return the task that a name on the wire means.
+
+    Raises
+    ------
+    CodecError
+        If the text is no name of a task.
+    """
+    try:
+        job, occurrence, step, index = text.split(".")
+        return TaskId(job, int(occurrence), int(step), int(index))
+    except ValueError as exc:
+        raise CodecError(f"{text!r} names no task") from exc
+
+
+def decode_report(data: bytes) -> WorkerReport:
+    """Return what a worker lists.
+
+    Raises
+    ------
+    CodecError
+        If the body holds something else.
+    """
+    wire: WireRuns = decode_wire(data, WireRuns)
+    try:
+        running = tuple(_make_running(row) for row in wire.running)
+        ended = tuple(_make_ended(row) for row in wire.ended)
+    except (ValueError, TypeError, IndexError) as exc:
+        raise CodecError(f"rows of runs can't be read: {exc}") from exc
+    return WorkerReport(wire.clock_ms, running, ended, wire.born)
+
+
+def _make_running(row: tuple[Any, ...]) -> RunningTask:
+    usage = int(row[4]) if len(row) > 4 else 0
+    return RunningTask(
+        parse_task(row[0]), int(row[1]), row[2] or "", int(row[3]), usage
+    )
+
+
+def _make_ended(row: tuple[Any, ...]) -> EndedTask:
+    number, name, run, kind = row[:4]
+    checkpoint = row[4] if len(row) > 4 else ""
+    return EndedTask(
+        int(number), parse_task(name), int(run), EndKind(kind), checkpoint or ""
+    )
--- /dev/null
+++ b/geraniumwell/platform/settings.py
@@ -0,0 +1,59 @@
+"""Settings of a daemon on the platform, as its template fills them in."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode
+
+from geraniumwell.exceptions import SettingsError
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """Settings of one daemon.
+
+    Parameters
+    ----------
+    callers, readiness, metrics : str
+        Addresses ``ip:port`` on which the daemon listens.
+    store : str
+        Address of the platform's table store.
+    memory_mb : int
+        Memory that the platform lets the process have.
+    lease_limit_ms : int
+        Longest lease that a worker grants.
+    """
+
+    vm: str
+    data_centre: str
+    region: str
+    callers: str
+    readiness: str
+    metrics: str
+    store: str
+    memory_mb: int = 300
+    grace_seconds: float = 6.0
+    lease_limit_ms: float = 10_000
+    stop_limit_ms: float = 900
+    gang_limit_ms: float = 3_000
+    reclaim_limit_ms: float = 3_400
+    result_seconds: float = 120
+    far_factor: float = 3.0
+    log_level: str = "INFO"
+
+
+def load_platform_settings(path: Path) -> PlatformSettings:
+    """Return the settings in a file.
+
+    Raises
+    ------
+    SettingsError
+        With the key path and what was expected.
+    """
+    try:
+        return decode(path.read_bytes(), type=PlatformSettings)
+    except OSError as exc:
+        raise SettingsError(str(path), f"a readable file ({exc.strerror})") from exc
+    except (ValidationError, DecodeError) as exc:
+        raise SettingsError(str(path), str(exc)) from exc
--- /dev/null
+++ b/geraniumwell/platform/store.py
@@ -0,0 +1,171 @@
+"""Client of the platform's table store over HTTP."""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from typing import Any, Final
+from urllib.parse import urlencode
+
+from msgspec.json import encode
+from prometheus_client import Counter, Histogram
+from urllib3 import HTTPConnectionPool, HTTPResponse, Timeout
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from geraniumwell.clients.http import make_pool
+from geraniumwell.clients.table import (
+    Committed,
+    Condition,
+    Conflict,
+    HistoryLostError,
+    RowRange,
+    StoredRow,
+    StoreRefusedError,
+    StoreUnknownError,
+    TableTransaction,
+)
+from geraniumwell.codec.json import CodecError
+from geraniumwell.platform.wire import WireRow, WireRows, decode_wire
+from geraniumwell.util.clock import monotonic_seconds
+
+HEADERS: Final = {"Content-Type": "application/json"}
+# The store answers in 4 to 10 ms; a slow one takes some 0.5 s.
+CONNECT_SECONDS: Final = 0.6
+READ_SECONDS: Final = 1.0
+# All rows of this system lie in one part, so that one transaction can change any.
+PART: Final = ""
+CALLS = Counter(
+    "geraniumwell_store_calls", "Calls to the store.", ("operation", "result")
+)
+SECONDS = Histogram(
+    "geraniumwell_store_call_seconds",
+    "Time of a call to the store; watches are left out.",
+    ("operation",),
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0),
+)
+
+
+class HttpTableClient:
+    """One connection to the store; not for several threads.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the store.
+    read_seconds : float
+        Time limit of a call, besides the time that a watch waits.
+    """
+
+    __slots__ = ("_pool", "_read_seconds")
+
+    def __init__(self, address: str, read_seconds: float = READ_SECONDS) -> None:
+        self._pool: HTTPConnectionPool = make_pool(
+            address, CONNECT_SECONDS, read_seconds
+        )
+        self._read_seconds = read_seconds
+
+    def commit(self, transaction: TableTransaction) -> Committed | Conflict:
+        """Carry a transaction out."""
+        body = {
+            "Expected": [
+                _name_row(item.table, item.key) | {"Ver": item.version}
+                for item in transaction.conditions
+            ],
+            "Writes": [
+                _name_row(item.table, item.key)
+                | {"Value": b64encode(item.value).decode()}
+                for item in transaction.writes
+            ],
+            "Remove": [_name_row(r.table, r.key) for r in transaction.removals],
+        }
+        resp = self._call("commit", "POST", "/rows-tx", encode(body))
+        wire = _decode_rows(resp)
+        if resp.status == 412:
+            rows = tuple(_make_row(row) for row in wire.rows)
+            return Conflict(_fill_missing(rows, transaction.conditions))
+        return Committed(wire.ver)
+
+    def read(self, table: str, first: str = "", limit: int = 0) -> RowRange:
+        """Return rows in the order of their keys, from ``first`` on."""
+        args: dict[str, Any] = {"Table": table, "part": PART}
+        if first:
+            args["From"] = first
+        if limit:
+            args["Limit"] = limit
+        wire = _decode_rows(self._call("read", "GET", f"/rows-get?{urlencode(args)}"))
+        rows = tuple(_make_row(row) for row in wire.rows)
+        return RowRange(rows, wire.ver, wire.truncated)
+
+    def watch(self, table: str, after: int, seconds: float) -> RowRange:
+        """Return the rows changed after a version, once there are any."""
+        args = {"Table": table, "After": after, "WaitMs": int(seconds * 1000)}
+        path = f"/rows-feed?{urlencode(args)}"
+        wire = _decode_rows(self._call("watch", "GET", path, wait_seconds=seconds))
+        return RowRange(tuple(_make_row(row) for row in wire.rows), wire.ver)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._pool.close()
+
+    def _call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        wait_seconds: float = 0.0,
+    ) -> HTTPResponse:
+        begin = monotonic_seconds()
+        try:
+            resp = self._pool.request(
+                method,
+                path,
+                body=body,
+                headers=HEADERS,
+                timeout=Timeout(
+                    connect=CONNECT_SECONDS, read=self._read_seconds + wait_seconds
+                ),
+            )
+        except (ConnectTimeoutError, NewConnectionError) as exc:
+            CALLS.labels(operation, "unreachable").inc()
+            raise StoreRefusedError(f"store {operation}: {exc}") from exc
+        except HTTPError as exc:
+            CALLS.labels(operation, "no_answer").inc()
+            raise StoreUnknownError(f"store {operation}: {exc}") from exc
+        CALLS.labels(operation, str(resp.status)).inc()
+        if not wait_seconds:
+            SECONDS.labels(operation).observe(monotonic_seconds() - begin)
+        if resp.status == 410:
+            raise HistoryLostError("the store has dropped the wanted changes")
+        if resp.status not in (200, 412):
+            raise StoreRefusedError(f"store {operation}: status {resp.status}")
+        return resp
+
+
+def _name_row(table: str, key: str) -> dict[str, Any]:
+    return {"Table": table, "part": PART, "Key": key}
+
+
+def _decode_rows(resp: HTTPResponse) -> WireRows:
+    try:
+        return decode_wire(resp.data, WireRows)
+    except CodecError as exc:
+        raise StoreUnknownError(f"the store's answer can't be read: {exc}") from exc
+
+
+def _make_row(row: WireRow) -> StoredRow:
+    try:
+        value = b64decode(row.value)
+    except Base64Error:
+        # Another writer's row; what reads it finds that it holds nothing.
+        value = b""
+    return StoredRow(row.table, row.key, value, row.ver, row.tombstone)
+
+
+def _fill_missing(
+    rows: tuple[StoredRow, ...], conditions: tuple[Condition, ...]
+) -> tuple[StoredRow, ...]:
+    """Return the rows of all conditions; one that is not there has version 0."""
+    found = {(row.table, row.key): row for row in rows}
+    return tuple(
+        found.get((c.table, c.key), StoredRow(c.table, c.key, b"", 0, True))
+        for c in conditions
+    )
--- a/geraniumwell/util/clock.py
+++ b/geraniumwell/util/clock.py
@@ -11,3 +11,17 @@
 def wall_seconds() -> float:
     """Return Unix time in seconds, for records and windows that people read."""
     return time.time()
+
+
+def steady_seconds() -> float:
+    """Return seconds of a clock that never goes back and counts suspended time."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+# Later jumps of the time of day do not move the times of jobs.
+WALL_OFFSET_SECONDS = time.time() - steady_seconds()
+
+
+def steady_wall_seconds() -> float:
+    """Return Unix time in seconds as it was set when the process started."""
+    return steady_seconds() + WALL_OFFSET_SECONDS
