--- /dev/null
+++ b/stand_ins/task_worker.py
@@ -0,0 +1,271 @@
+"""Stand-in of a platform worker that runs tasks under leases; it guards nothing.
+
+Arguments: port, store address, id, service, rack, seconds that a task takes, file to
+which each start and end is appended as a JSON line. ``POST /faults`` with
+``{"mode": "up" | "fail" | "shed" | "hang" | "silent" | "late"}`` changes how later
+starts behave: they fail, are refused, never end, get no answer, or get none and are
+carried out seconds later. ``silent`` leaves all calls without an answer.
+"""
+
+import json
+import sys
+import time
+from base64 import b64encode
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler
+from threading import Condition, Thread, Timer
+from typing import Any
+
+from urllib3 import PoolManager, Retry
+from urllib3.exceptions import HTTPError
+
+from stand_ins.server import run_server, send, send_json
+
+LATE_SECONDS = 2.0
+SILENT_SECONDS = 5.0
+STOP_SECONDS = 0.1
+HEARTBEAT_SECONDS = 0.5
+LEASE_LIMIT_MS = 10_000
+CAPACITY = {"Cpu": 16_000, "MemMb": 64_000, "Gpu": 8}
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task."""
+
+    task: str
+    run: int
+    ends_at: float
+    begun_at: float
+    stop_at: float | None = None
+    will_fail: bool = False
+    is_hanging: bool = False
+
+
+@dataclass(slots=True)
+class WorkerArgs:
+    """Arguments of the process."""
+
+    port: int
+    store: str
+    id: str
+    service: str
+    rack: str
+    seconds: float
+    record: str
+
+
+@dataclass(slots=True)
+class TaskWorker:
+    """Runs, ends and the lease of one worker."""
+
+    args: WorkerArgs
+    changed: Condition = field(default_factory=Condition)
+    runs: dict[str, Run] = field(default_factory=dict)
+    highest: dict[str, int] = field(default_factory=dict)
+    ended: list[list[Any]] = field(default_factory=list)
+    count: int = 0
+    fence: int = 0
+    deadline_ms: int = 0
+    mode: str = "up"
+    born_ms: int = 0
+
+    def handle(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        """Answer one call."""
+        call = json.loads(body or b"{}")
+        if handler.path == "/faults":
+            self.mode = call["mode"]
+            send_json(handler, 200, {})
+            return
+        if self.mode == "silent":
+            time.sleep(SILENT_SECONDS)
+            handler.close_connection = True
+            return
+        expected = handler.headers.get("X-Geraniumwell-Expect-Instance")
+        if expected not in (None, self.args.id):
+            send_json(handler, 421, {})
+            return
+        match handler.path:
+            case "/run-start":
+                self._start(handler, call)
+            case "/run-stop":
+                self._stop(handler, call)
+            case "/hold":
+                self._hold(handler, call)
+            case _:
+                send(handler, 404)
+
+    def clock_ms(self) -> int:
+        """Return the worker's steady clock."""
+        return int(time.monotonic() * 1000)
+
+    def _refuse(self, handler: BaseHTTPRequestHandler, reason: str) -> None:
+        send_json(handler, 409, {"ClockMs": self.clock_ms(), "Reason": reason})
+
+    def _start(self, handler: BaseHTTPRequestHandler, call: dict[str, Any]) -> None:
+        if self.mode == "shed":
+            send(handler, 503)
+            return
+        if self.mode == "late":
+            timer = Timer(LATE_SECONDS, self._carry_out, (call,))
+            timer.daemon = True
+            timer.start()
+            time.sleep(SILENT_SECONDS)
+            handler.close_connection = True
+            return
+        reason = self._carry_out(call)
+        if reason:
+            self._refuse(handler, reason)
+        else:
+            send_json(handler, 200, {"ClockMs": self.clock_ms()})
+
+    def _carry_out(self, call: dict[str, Any]) -> str:
+        with self.changed:
+            if call["Fence"] < self.fence:
+                return "fence"
+            self.fence = call["Fence"]
+            self._extend(call)
+            name, run = call["Task"], call["Run"]
+            if name in self.runs and self.runs[name].run == run:
+                return ""
+            if run <= self.highest.get(name, 0):
+                return "old"
+            if call["DeadlineMs"] <= self.clock_ms():
+                return "late"
+            now = time.monotonic()
+            self.highest[name] = run
+            self.runs[name] = Run(
+                name,
+                run,
+                now + self.args.seconds,
+                now,
+                will_fail=self.mode == "fail",
+                is_hanging=self.mode == "hang",
+            )
+            self._record("start", name, run, call.get("Checkpoint", ""))
+            self.changed.notify_all()
+            return ""
+
+    def _extend(self, call: dict[str, Any]) -> None:
+        wanted = min(call.get("DeadlineMs", 0), self.clock_ms() + LEASE_LIMIT_MS)
+        self.deadline_ms = max(self.deadline_ms, wanted)
+
+    def _stop(self, handler: BaseHTTPRequestHandler, call: dict[str, Any]) -> None:
+        with self.changed:
+            if call["Fence"] < self.fence:
+                self._refuse(handler, "fence")
+                return
+            self.fence = call["Fence"]
+            name, run = call["Task"], call["Run"]
+            self.highest[name] = max(self.highest.get(name, 0), run)
+            found = self.runs.get(name)
+            if found is not None and found.run <= run and found.stop_at is None:
+                found.stop_at = time.monotonic() + STOP_SECONDS
+                self.changed.notify_all()
+        send_json(handler, 200, {"ClockMs": self.clock_ms()})
+
+    def _hold(self, handler: BaseHTTPRequestHandler, call: dict[str, Any]) -> None:
+        limit = time.monotonic() + call.get("WaitMs", 0) / 1000
+        with self.changed:
+            if call["Fence"] < self.fence:
+                self._refuse(handler, "fence")
+                return
+            self.fence = call["Fence"]
+            self._extend(call)
+            self.ended = [row for row in self.ended if row[0] > call["LastSeen"]]
+            while not self.ended and time.monotonic() < limit:
+                self.changed.wait(limit - time.monotonic())
+            answer = {
+                "ClockMs": self.clock_ms(),
+                "Running": [self._list(run) for run in self.runs.values()],
+                "Ended": list(self.ended),
+                "born": self.born_ms,
+            }
+        send_json(handler, 200, answer)
+
+    def _list(self, run: Run) -> list[Any]:
+        if run.is_hanging:
+            return [run.task, run.run, "", 1, 0]
+        share = (time.monotonic() - run.begun_at) / self.args.seconds
+        return [run.task, run.run, "", min(99, int(share * 100)), 0]
+
+    def _record(self, what: str, task: str, run: int, detail: str) -> None:
+        line = {
+            "at": time.monotonic(),
+            "what": what,
+            "task": task,
+            "run": run,
+            "detail": detail,
+            "worker": self.args.id,
+            "fence": self.fence,
+        }
+        with open(self.args.record, "a") as out:
+            out.write(json.dumps(line) + "\n")
+
+    def work(self) -> None:
+        """End runs when they are done, stopped or their lease is over."""
+        with self.changed:
+            while True:
+                now = time.monotonic()
+                for run in list(self.runs.values()):
+                    how = self._find_end(run, now)
+                    if how:
+                        self._end(run, how)
+                self.changed.wait(0.02 if self.runs else None)
+
+    def _find_end(self, run: Run, now: float) -> str:
+        if self.clock_ms() >= self.deadline_ms:
+            return "lapsed"
+        if run.stop_at is not None and now >= run.stop_at:
+            return "stopped"
+        if now >= run.ends_at and not run.is_hanging:
+            return "failed" if run.will_fail else "done"
+        return ""
+
+    def _end(self, run: Run, how: str) -> None:
+        del self.runs[run.task]
+        self.count += 1
+        self.ended.append([self.count, run.task, run.run, how, ""])
+        self._record(how, run.task, run.run, "")
+        self.changed.notify_all()
+
+    def register(self, address: str) -> None:
+        """Keep the worker's entry in the store."""
+        http = PoolManager(retries=Retry(total=False), timeout=2.0)
+        entry = {
+            "Service": self.args.service,
+            "Address": address,
+            "Zone": "dc-1",
+            "State": "ready",
+            "Capacity": CAPACITY,
+            "Labels": ["a", self.args.rack],
+            "born": self.born_ms,
+        }
+        row = {
+            "Table": "servers",
+            "Key": self.args.id,
+            "Value": b64encode(json.dumps(entry).encode()).decode(),
+        }
+        is_written = False
+        while not is_written:
+            try:
+                url = f"http://{self.args.store}/rows-tx"
+                body = json.dumps({"Writes": [row]})
+                is_written = http.request("POST", url, body=body).status == 200
+            except HTTPError as exc:
+                print(f"not registered: {exc}", file=sys.stderr)
+            time.sleep(HEARTBEAT_SECONDS)
+
+
+def main() -> None:
+    """Run the worker."""
+    port, store, name, service, rack, seconds, record = sys.argv[1:8]
+    args = WorkerArgs(int(port), store, name, service, rack, float(seconds), record)
+    worker = TaskWorker(args, born_ms=int(time.time() * 1000))
+    Thread(target=worker.work, daemon=True).start()
+    Thread(target=worker.register, args=(f"127.0.0.1:{port}",), daemon=True).start()
+    run_server(args.port, worker.handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/actors/batch/whole_path.feature
@@ -0,0 +1,88 @@
+Feature: Jobs run once from caller to worker, whatever process fails
+
+  Scenario: A job is accepted, runs and is shown as done
+    Given 2 daemons and 2 workers whose tasks take 0.3 seconds
+    When the job "00000000000000a1" is handed in at "d1"
+    Then the job "00000000000000a1" becomes "done" at "d2"
+    And each task ran to its end exactly once
+
+  Scenario: A job that is handed in twice is one job
+    Given 2 daemons and 2 workers whose tasks take 0.3 seconds
+    When the job "00000000000000a1" is handed in at "d1"
+    And the job "00000000000000a1" is handed in at "d2"
+    Then the job "00000000000000a1" becomes "done" at "d1"
+    And each task ran to its end exactly once
+
+  Scenario: The scheduling daemon is killed and its jobs go on where they are
+    Given 2 daemons and 2 workers whose tasks take 4 seconds
+    When the job "00000000000000a1" is handed in at "d1"
+    And its tasks have started
+    And the scheduling daemon is killed
+    Then the job "00000000000000a1" becomes "done" at the other daemon
+    And each task ran to its end exactly once
+    And no task was started twice
+
+  Scenario: The scheduling daemon is paused, is replaced, and changes nothing later
+    Given 2 daemons and 2 workers whose tasks take 3 seconds
+    When the job "00000000000000a1" is handed in at "d1"
+    And its tasks have started
+    And the scheduling daemon is paused until it is replaced
+    Then the job "00000000000000a1" becomes "done" at the other daemon
+    And each task ran to its end exactly once
+
+  Scenario: A planned stop hands the schedule over and cuts no call
+    Given 2 daemons and 2 workers whose tasks take 2 seconds
+    When the job "00000000000000a1" is handed in at "d1"
+    And the scheduling daemon is stopped with SIGTERM
+    Then the job "00000000000000a1" becomes "done" at the other daemon
+    And the stopped daemon has ended by itself
+    And no task was started twice
+
+  Scenario: While the store is down a job is refused, and it never runs
+    Given 1 daemons and 1 workers whose tasks take 0.3 seconds
+    When the store refuses all calls
+    Then the job "00000000000000a1" is refused at "d1" with status 503
+    When the store works again
+    Then the job "00000000000000a1" is unknown at "d1"
+
+  Scenario: A write whose answer is lost is no refusal
+    Given 1 daemons and 1 workers whose tasks take 0.3 seconds
+    When the answers of all writes are lost
+    Then the job "00000000000000a1" is refused at "d1" with status 504
+    When the store works again
+    And the job "00000000000000a1" is handed in at "d1"
+    Then the job "00000000000000a1" becomes "done" at "d1"
+    And each task ran to its end exactly once
+
+  Scenario: A cancelled job is stopped on its workers
+    Given 1 daemons and 2 workers whose tasks take 30 seconds
+    When the job "00000000000000a1" is handed in at "d1"
+    And its tasks have started
+    And the job "00000000000000a1" is cancelled at "d1"
+    Then the job "00000000000000a1" becomes "cancelled" at "d1"
+    And all its runs end as "stopped"
+
+  Scenario: A start without an answer that is carried out late does no harm
+    Given 1 daemons and 2 workers whose tasks take 0.5 seconds
+    When the worker "w1" carries starts out late
+    And the job "00000000000000a1" is handed in at "d1"
+    Then the job "00000000000000a1" becomes "done" at "d1"
+    And each task ran to its end exactly once
+
+  Scenario: A key that was taken away is refused everywhere
+    Given 2 daemons and 1 workers whose tasks take 0.3 seconds
+    When the operator takes the key away
+    Then both daemons refuse the key
+
+  Scenario: The store forgets its history and the configuration still arrives
+    Given 1 daemons and 1 workers whose tasks take 0.3 seconds
+    When the store forgets its history
+    And the operator takes the key away
+    Then both daemons refuse the key
+
+  Scenario: All daemons are killed right after a job was accepted
+    Given 2 daemons and 2 workers whose tasks take 0.3 seconds
+    When the job "00000000000000a1" is handed in at "d1"
+    And all daemons are killed and started again
+    Then the job "00000000000000a1" becomes "done" at "d1"
+    And each task ran to its end exactly once
--- /dev/null
+++ b/tests/actors/batch/whole_path_steps.py
@@ -0,0 +1,199 @@
+"""Steps of the whole path with real processes."""
+
+from collections import Counter
+
+from behave import given, then, when
+from behave.runner import Context
+from urllib3.exceptions import HTTPError
+
+from tests.support.batch_processes import (
+    Installation,
+    set_fault,
+    start_installation,
+)
+from tests.support.processes import wait_until
+
+
+@given(
+    "{daemons:d} daemons and {workers:d} workers whose tasks take {seconds:g} seconds"
+)
+def step_installation(
+    context: Context, daemons: int, workers: int, seconds: float
+) -> None:
+    found = start_installation(daemons, workers, seconds)
+    context.processes.append(found)
+    context.site = found
+    context.job = ""
+    context.ended = ""
+
+
+def site_of(context: Context) -> Installation:
+    """Return the scenario's installation."""
+    return context.site
+
+
+@when('the job "{job}" is handed in at "{name}"')
+def step_submit(context: Context, job: str, name: str) -> None:
+    context.job = job
+    status = site_of(context).submit(name, job)
+    assert status == 200, status
+
+
+@when("its tasks have started")
+def step_started(context: Context) -> None:
+    def is_started() -> bool:
+        return count(context, "start") >= 2
+
+    wait_until(is_started, "the start of the tasks")
+
+
+@then('the job "{job}" becomes "{state}" at "{name}"')
+def step_becomes(context: Context, job: str, state: str, name: str) -> None:
+    def is_there() -> bool:
+        try:
+            return site_of(context).find_state(name, job) == state
+        except HTTPError:
+            return False
+
+    wait_until(is_there, f"{job} being {state}")
+
+
+@then('the job "{job}" becomes "{state}" at the other daemon')
+def step_becomes_other(context: Context, job: str, state: str) -> None:
+    step_becomes(context, job, state, other_daemon(context))
+
+
+def other_daemon(context: Context) -> str:
+    """Return the daemon that was left alone."""
+    return next(n for n in site_of(context).daemons if n != context.ended)
+
+
+@when("the scheduling daemon is killed")
+def step_kill(context: Context) -> None:
+    site = site_of(context)
+    context.ended = site.find_scheduler()
+    site.daemons[context.ended].kill()
+
+
+@when("the scheduling daemon is paused until it is replaced")
+def step_pause(context: Context) -> None:
+    site = site_of(context)
+    context.ended = site.find_scheduler()
+    process = site.daemons[context.ended]
+    process.pause()
+    other = other_daemon(context)
+    wait_until(lambda: site.find_scheduler_among((other,)) == other, "a takeover")
+    process.resume()
+
+
+@when("the scheduling daemon is stopped with SIGTERM")
+def step_terminate(context: Context) -> None:
+    site = site_of(context)
+    context.ended = site.find_scheduler()
+    site.daemons[context.ended].terminate()
+
+
+@then("the stopped daemon has ended by itself")
+def step_ended(context: Context) -> None:
+    process = site_of(context).daemons[context.ended]
+    wait_until(lambda: process.exit_status is not None, "the daemon's end")
+    assert process.exit_status == 0, process.exit_status
+
+
+@when("the store refuses all calls")
+def step_busy(context: Context) -> None:
+    site_of(context).break_store(mode="busy")
+
+
+@when("the answers of all writes are lost")
+def step_lost(context: Context) -> None:
+    site_of(context).break_store(mode="lose_answers")
+
+
+@when("the store works again")
+def step_up(context: Context) -> None:
+    site = site_of(context)
+    site.break_store(mode="up")
+    for name in site.daemons:
+        wait_until(lambda name=name: site.is_ready(name), f"{name} being ready")
+
+
+@when("the store forgets its history")
+def step_compact(context: Context) -> None:
+    site = site_of(context)
+    site.put("op", "other", {})
+    site.compact()
+
+
+@then('the job "{job}" is refused at "{name}" with status {status:d}')
+def step_refused(context: Context, job: str, name: str, status: int) -> None:
+    found = site_of(context).submit(name, job)
+    assert found == status, found
+
+
+@then('the job "{job}" is unknown at "{name}"')
+def step_unknown(context: Context, job: str, name: str) -> None:
+    found = site_of(context).find_state(name, job)
+    assert found == "410", found
+
+
+@when('the job "{job}" is cancelled at "{name}"')
+def step_cancel(context: Context, job: str, name: str) -> None:
+    assert site_of(context).ask(name, "DELETE", job).status == 200
+
+
+@then('all its runs end as "{how}"')
+def step_all_end(context: Context, how: str) -> None:
+    wait_until(lambda: count(context, how) >= 2, f"the runs being {how}")
+    assert count(context, "start") == count(context, how)
+
+
+@when('the worker "{name}" carries starts out late')
+def step_late(context: Context, name: str) -> None:
+    set_fault(site_of(context).workers[name], mode="late")
+
+
+@when("the operator takes the key away")
+def step_revoke(context: Context) -> None:
+    site_of(context).write_config(("key-2",))
+
+
+@then("both daemons refuse the key")
+def step_revoked(context: Context) -> None:
+    site = site_of(context)
+    for name in site.daemons:
+        wait_until(
+            lambda name=name: site.ask(name, "GET").status == 401, "the key's end"
+        )
+
+
+@when("all daemons are killed and started again")
+def step_kill_all(context: Context) -> None:
+    site = site_of(context)
+    for process in site.daemons.values():
+        process.kill()
+    for name in list(site.daemons):
+        site.start_daemon(name)
+    for name in site.daemons:
+        wait_until(lambda name=name: site.is_ready(name), f"{name} being ready")
+
+
+@then("each task ran to its end exactly once")
+def step_once(context: Context) -> None:
+    ends = Counter(
+        item["task"]
+        for item in site_of(context).read_record()
+        if item["what"] == "done"
+    )
+    assert len(ends) == 2, ends
+    assert set(ends.values()) == {1}, ends
+
+
+@then("no task was started twice")
+def step_not_twice(context: Context) -> None:
+    assert count(context, "start") == 2
+
+
+def count(context: Context, what: str) -> int:
+    """Return how often the workers recorded something."""
+    return sum(item["what"] == what for item in site_of(context).read_record())
--- /dev/null
+++ b/tests/codec/batch.feature
@@ -0,0 +1,22 @@
+Feature: Rows of jobs survive the store, and foreign rows are refused
+
+  Scenario: The progress of a job is the same after a round trip
+    Given a job with two steps, a failure and a finished occurrence
+    When its progress is encoded and decoded
+    Then both are equal
+
+  Scenario: An ended job keeps its state
+    Given a job that was cancelled
+    When its progress is encoded and decoded
+    Then the state that its caller is shown is "cancelled"
+
+  Scenario Outline: A row that holds something else is refused with a code
+    When the bytes "<bytes>" are read as a <kind>
+    Then the error is "codec_error"
+
+    Examples:
+      | bytes | kind     |
+      | xyz   | spec     |
+      | xyz   | leader   |
+      | xyz   | progress |
+      |       | spec     |
--- /dev/null
+++ b/tests/commands/batch/ends_steps.py
@@ -0,0 +1,149 @@
+"""Steps of ends and reports."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from geraniumwell.commands.batch.answers import apply_lost_start, apply_stop_answer
+from geraniumwell.commands.batch.health import note_refusal
+from geraniumwell.commands.batch.room import can_receive
+from geraniumwell.model.batch.cluster import StartTask, StopTask
+from geraniumwell.model.batch.job import PLACED_PHASES, Phase, Task, TaskId
+from geraniumwell.model.batch.worker import EndedTask, EndKind, RunningTask
+from geraniumwell.queries.batch.status import get_state
+from tests.support.batch import (
+    end_task,
+    list_tasks,
+    make_job,
+    make_step,
+    report,
+    run_plan,
+    submit,
+)
+
+
+def first_task(context: Context, name: str) -> Task:
+    """Return the first task of a job."""
+    return list_tasks(context.cluster, name)[0]
+
+
+@when('an end as "{kind}" of run {run:d} of "{name}" is listed again at second {now:g}')
+def step_old_end(context: Context, kind: str, run: int, name: str, now: float) -> None:
+    task = first_task(context, name)
+    worker = context.cluster.workers[task.worker]
+    running = (RunningTask(task.id, task.run, "", 10),)
+    end = EndedTask(worker.seen + 1, task.id, run, EndKind(kind), "")
+    report(context.cluster, task.worker, now, running, (end,))
+
+
+@then('the job "{name}" is "{state}"')
+def step_state(context: Context, name: str, state: str) -> None:
+    found = get_state(context.cluster.jobs[name]).value
+    assert found == state, found
+
+
+@then("the other member still holds its place")
+def step_other_holds(context: Context) -> None:
+    task = list_tasks(context.cluster, "g")[1]
+    assert task.id in context.cluster.workers[task.worker].tasks
+
+
+@given('the task of "{name}" has failed {count:d} times')
+def step_has_failed(context: Context, name: str, count: int) -> None:
+    end_often(context, name, EndKind.FAILED, count)
+
+
+@when('the task of "{name}" ends {count:d} times as "{kind}"')
+def step_ends_often(context: Context, name: str, count: int, kind: str) -> None:
+    end_often(context, name, EndKind(kind), count)
+
+
+@when('the task of "{name}" fails once more')
+def step_fails(context: Context, name: str) -> None:
+    end_often(context, name, EndKind.FAILED, 1)
+
+
+def end_often(context: Context, name: str, kind: EndKind, count: int) -> None:
+    """Start a job's task and end it, again and again."""
+    context.now = getattr(context, "now", 0.0)
+    for _ in range(count):
+        # Long enough for a worker that is avoided to be tried again.
+        context.now += 100.0
+        run_plan(context.cluster, context.now)
+        end_task(context.cluster, first_task(context, name), kind, context.now + 1)
+
+
+@given('the start of "{name}" got no answer')
+def step_lost_start(context: Context, name: str) -> None:
+    task = first_task(context, name)
+    task.phase, task.settled_at = Phase.STARTING, None
+    order = StartTask(task.worker, task.id, task.run, "text", "")
+    context.stops = apply_lost_start(context.cluster, order, 1.5)
+    assert context.stops == [StopTask(task.worker, task.id, task.run)]
+
+
+@when('the worker of "{name}" lists nothing at second {now:g}')
+def step_lists_nothing(context: Context, name: str, now: float) -> None:
+    report(context.cluster, first_task(context, name).worker, now)
+
+
+@when('the worker of "{name}", asked at second {at:g}, lists nothing at second {now:g}')
+def step_lists_nothing_late(context: Context, name: str, at: float, now: float) -> None:
+    worker = first_task(context, name).worker
+    report(context.cluster, worker, now, sent_at=at)
+
+
+@when('the worker of "{name}" answers the stop at second {now:g}')
+def step_stop_answered(context: Context, name: str, now: float) -> None:
+    apply_stop_answer(context.cluster, context.stops[0], now)
+
+
+@when('the worker of "{name}" answers as a new life at second {now:g}')
+def step_new_life(context: Context, name: str, now: float) -> None:
+    report(context.cluster, first_task(context, name).worker, now, started_ms=2)
+
+
+@then('the task of "{name}" holds its place')
+def step_holds(context: Context, name: str) -> None:
+    task = first_task(context, name)
+    assert task.phase in PLACED_PHASES, task
+    assert task.id in context.cluster.workers[task.worker].tasks
+
+
+@then('the task of "{name}" waits')
+def step_waits(context: Context, name: str) -> None:
+    task = first_task(context, name)
+    assert task.phase is Phase.WAITING, task
+    assert not any(task.id in w.tasks for w in context.cluster.workers.values())
+
+
+@when('the worker "{name}" lists an unknown run at second {now:g}')
+def step_foreign(context: Context, name: str, now: float) -> None:
+    running = (RunningTask(TaskId("x", 0, 0, 0), 4, "", 10),)
+    context.orders = report(context.cluster, name, now, running)
+
+
+@then("that run is stopped")
+def step_foreign_stopped(context: Context) -> None:
+    assert context.orders == [StopTask("w1", TaskId("x", 0, 0, 0), 4)]
+
+
+@then('the worker "{name}" gets no tasks')
+def step_blocked(context: Context, name: str) -> None:
+    assert not can_receive(context.cluster.workers[name], 100.0)
+
+
+@when('the job "{name}" comes')
+def step_comes(context: Context, name: str) -> None:
+    submit(context.cluster, make_job(name, make_step()))
+
+
+@when('the worker "{name}" loses a start at second {now:g}')
+def step_loses(context: Context, name: str, now: float) -> None:
+    # Starts that were sent together are one sign of trouble, not several.
+    for _ in range(2):
+        note_refusal(context.cluster.workers[name], now)
+
+
+@then('the worker "{name}" is not avoided at second {now:g}')
+def step_not_avoided(context: Context, name: str, now: float) -> None:
+    assert context.cluster.workers[name].avoid_until <= now
--- /dev/null
+++ b/tests/commands/batch/leadership.feature
@@ -0,0 +1,25 @@
+Feature: One daemon at a time holds the schedule
+
+  Scenario: The first daemon claims with the first epoch
+    Given no daemon has claimed yet
+    Then "a" may claim at second 0 with epoch 1
+
+  Scenario: A claim that is renewed can't be taken
+    Given "b" holds epoch 4 and was seen changing at second 10
+    Then "a" may not claim at second 11
+
+  Scenario: A claim whose holder has fallen silent is taken with a higher epoch
+    Given "b" holds epoch 4 and was seen changing at second 10
+    Then "a" may claim at second 14 with epoch 5
+
+  Scenario: A released claim is taken at once
+    Given "" holds epoch 4 and was seen changing at second 10
+    Then "a" may claim at second 10 with epoch 5
+
+  Scenario: The holder stops giving orders before anyone else may claim
+    Then a holder's orders end before the claim of another
+
+  Scenario: A daemon that was restarted takes the claim of its earlier process
+    Given "a/1" holds epoch 4 and was seen changing at second 10
+    Then "a/2" may claim at second 10 with epoch 5
+    And "b/1" may not claim at second 10
--- /dev/null
+++ b/tests/commands/batch/leadership_steps.py
@@ -0,0 +1,48 @@
+"""Steps of the claim of the schedule."""
+
+from behave import given, then
+from behave.runner import Context
+
+from geraniumwell.commands.batch.leadership import (
+    CLAIM_AFTER_SECONDS,
+    HOLDER_VALID_SECONDS,
+    Observation,
+    make_claim,
+    may_claim,
+    observe,
+)
+from geraniumwell.model.batch.leader import LeaderRow
+
+
+@given("no daemon has claimed yet")
+def step_unclaimed(context: Context) -> None:
+    context.seen = Observation()
+    observe(context.seen, None, 0, 0.0)
+
+
+@given('"{holder}" holds epoch {epoch:d} and was seen changing at second {at:g}')
+def step_held(context: Context, holder: str, epoch: int, at: float) -> None:
+    context.seen = Observation()
+    observe(context.seen, LeaderRow(holder, epoch, 7, {}), 3, at)
+    observe(context.seen, LeaderRow(holder, epoch, 7, {}), 3, at + 0.5)
+
+
+@given('"" holds epoch {epoch:d} and was seen changing at second {at:g}')
+def step_released(context: Context, epoch: int, at: float) -> None:
+    step_held(context, "", epoch, at)
+
+
+@then('"{name}" may claim at second {now:g} with epoch {epoch:d}')
+def step_may(context: Context, name: str, now: float, epoch: int) -> None:
+    assert may_claim(context.seen, name, now)
+    assert make_claim(context.seen, name) == LeaderRow(name, epoch, 0, {})
+
+
+@then('"{name}" may not claim at second {now:g}')
+def step_may_not(context: Context, name: str, now: float) -> None:
+    assert not may_claim(context.seen, name, now)
+
+
+@then("a holder's orders end before the claim of another")
+def step_margin(context: Context) -> None:
+    assert HOLDER_VALID_SECONDS < CLAIM_AFTER_SECONDS
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -6,8 +6,12 @@
 from behave.model import Scenario
 from behave.runner import Context
 
+TESTS_ROOT = Path(__file__).resolve().parent
+# Behave puts this folder on the path, where tests/platform, which mirrors the package,
+# would hide the standard library's module unless it comes last.
+sys.path.sort(key=lambda entry: Path(entry).resolve() == TESTS_ROOT)
 # Step modules import each other and the stand-ins by absolute name.
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+sys.path.insert(0, str(TESTS_ROOT.parent))
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
--- /dev/null
+++ b/tests/platform/decode_steps.py
@@ -0,0 +1,96 @@
+"""Steps of the platform's bodies."""
+
+from collections.abc import Callable
+from typing import Any
+
+from behave import then, when
+from behave.runner import Context
+
+from geraniumwell.codec.json import CodecError
+from geraniumwell.platform.decode import decode_entry, decode_job, decode_report
+from tests.support.batch import make_test_catalog
+
+
+def read(context: Context, decode: Callable[..., Any], *args: Any) -> None:
+    """Decode a body and keep the value or the error."""
+    context.value = context.refusal = None
+    try:
+        context.value = decode(*args)
+    except CodecError as exc:
+        context.refusal = exc
+
+
+@when("the body {body} is read as a job")
+def step_read_job(context: Context, body: str) -> None:
+    queue = make_test_catalog().queues[0]
+    read(context, decode_job, body.encode(), "00aa", queue, "desks", 5.0)
+
+
+@when("the entry {body} is read")
+def step_read_entry(context: Context, body: str) -> None:
+    read(context, decode_entry, "i-1", body.encode())
+
+
+@when("the lists {body} are read")
+def step_read_lists(context: Context, body: str) -> None:
+    read(context, decode_report, body.encode())
+
+
+@then("the body is refused")
+def step_refused(context: Context) -> None:
+    assert context.refusal is not None, context.value
+
+
+@then(
+    "step {number:d} has {count:d} tasks of {cpu:d} thousandths of a core"
+    ' near the rack "{rack}"'
+)
+def step_step(context: Context, number: int, count: int, cpu: int, rack: str) -> None:
+    step = context.value.steps[number]
+    found = (step.count, step.needs.cpu_millis, step.rack, step.needs.accelerators)
+    assert found == (count, cpu, rack, 0), step
+
+
+@then("step {number:d} is a gang that comes after step {before:d}")
+def step_gang(context: Context, number: int, before: int) -> None:
+    step = context.value.steps[number]
+    assert step.is_gang
+    assert step.after == (before,)
+
+
+@then("the job runs once")
+def step_once(context: Context) -> None:
+    assert (context.value.occurrences, context.value.is_timed) == (1, False)
+
+
+@then("the job runs {count:d} times, first at {first:g} and each {period:g} seconds")
+def step_times(context: Context, count: int, first: float, period: float) -> None:
+    job = context.value
+    found = (job.occurrences, job.first_due, job.period_seconds)
+    assert found == (count, first, period), found
+
+
+@then('the worker is draining in the rack "{rack}" for {seconds:g} seconds')
+def step_entry(context: Context, rack: str, seconds: float) -> None:
+    entry = context.value
+    assert entry.is_draining
+    assert (entry.rack, entry.remaining_seconds) == (rack, seconds)
+
+
+@then(
+    "task {index:d} of step {step:d} runs as run {run:d} at {percent:d} percent"
+    ' with checkpoint "{saved}"'
+)
+def step_running(
+    context: Context, index: int, step: int, run: int, percent: int, saved: str
+) -> None:
+    (item,) = context.value.running
+    found = (item.id.index, item.id.step, item.run, item.percent, item.checkpoint)
+    assert found == (index, step, run, percent, saved), item
+
+
+@then('end {number:d} tells that task {index:d} of step {step:d} was "{how}"')
+def step_ended(context: Context, number: int, index: int, step: int, how: str) -> None:
+    (item,) = context.value.ended
+    found = (item.number, item.id.index, item.id.step, item.kind.value)
+    assert found == (number, index, step, how), item
--- /dev/null
+++ b/tests/support/batch.py
@@ -0,0 +1,150 @@
+"""Builders of batch jobs, workers and clusters for scenarios."""
+
+from typing import Any
+
+from geraniumwell.commands.batch.ends import apply_report
+from geraniumwell.commands.batch.lifecycle import add_job
+from geraniumwell.commands.batch.planning import plan
+from geraniumwell.model.batch.catalog import (
+    Catalog,
+    Organisation,
+    Queue,
+    Service,
+    make_catalog,
+)
+from geraniumwell.model.batch.cluster import BatchPolicy, Cluster, Order, StartTask
+from geraniumwell.model.batch.job import JobSpec, Phase, StepSpec, Task, TaskId
+from geraniumwell.model.batch.resources import Resources
+from geraniumwell.model.batch.worker import (
+    EndedTask,
+    EndKind,
+    RunningTask,
+    Worker,
+    WorkerEntry,
+    WorkerReport,
+)
+
+CAPACITY = Resources(16_000, 64_000, 8)
+PRIORITIES = {"quotes": 0, "renders": 1, "batches": 2}
+WALL = 1_000_000.0
+
+
+def make_test_catalog(version: int = 1, guaranteed: int = 16) -> Catalog:
+    """Return a configuration with three queues of rising priority number."""
+    queues = tuple(
+        Queue(name, "host", f"/{name}/", "pool", priority, 3, 3.0, 1.0, 2.0)
+        for name, priority in PRIORITIES.items()
+    )
+    organisations = (
+        Organisation("desks", frozenset({"key-desks"}), guaranteed),
+        Organisation("carvers", frozenset({"key-carvers"}), 0),
+    )
+    return make_catalog(version, queues, organisations, (Service("pool"),), 1000)
+
+
+def make_cluster(racks: str = "r1 r1 r2 r2") -> Cluster:
+    """Return a cluster with one worker in each named rack, already looked at."""
+    cluster = Cluster(1, BatchPolicy(), make_test_catalog())
+    for number, rack in enumerate(racks.split(), 1):
+        add_worker(cluster, f"w{number}", rack)
+    return cluster
+
+
+def add_worker(cluster: Cluster, name: str, rack: str, now: float = 0.0) -> Worker:
+    """Add a worker that has answered a first look."""
+    entry = WorkerEntry(
+        name,
+        "pool",
+        "127.0.0.1:1",
+        "dc-1",
+        CAPACITY.copy(),
+        frozenset({"a", rack}),
+        rack,
+        False,
+        1,
+    )
+    worker = Worker(entry, is_fenced=True, started_ms=1)
+    worker.clock_ms, worker.clock_at = 1000, now
+    cluster.workers[name] = worker
+    return worker
+
+
+def make_step(count: int = 1, gpus: int = 1, **kwargs: Any) -> StepSpec:
+    """Return a step of small tasks."""
+    kwargs.setdefault("estimate_seconds", 2.0)
+    return StepSpec(count, Resources(1000, 1000, gpus), **kwargs)
+
+
+def make_job(name: str, *steps: StepSpec, **kwargs: Any) -> JobSpec:
+    """Return a job of the queue "renders", unless told otherwise."""
+    queue = kwargs.pop("queue", "renders")
+    values: dict[str, Any] = {
+        "organisation": "desks",
+        "service": "pool",
+        "priority": PRIORITIES[queue],
+        "max_attempts": 3,
+        "payload": "text",
+        "accepted_at": WALL,
+        "target_seconds": 1.0,
+        "stretch": 2.0,
+    }
+    return JobSpec(name, queue, steps=steps, **(values | kwargs))
+
+
+def submit(cluster: Cluster, spec: JobSpec) -> None:
+    """Take a job up."""
+    add_job(cluster, spec, WALL)
+
+
+def run_plan(cluster: Cluster, now: float) -> list[Order]:
+    """Plan one round; the starts count as sent and answered at once."""
+    orders = plan(cluster, now, WALL + now)
+    for order in orders:
+        if isinstance(order, StartTask):
+            task = get_task(cluster, order.id)
+            task.is_order_sent = True
+            task.phase = Phase.RUNNING
+            task.settled_at = task.started_at = task.progressed_at = now
+            cluster.workers[order.worker].lease_until = now + 100.0
+    return orders
+
+
+def get_task(cluster: Cluster, task_id: TaskId) -> Task:
+    """Return a task by its name."""
+    job = cluster.jobs[task_id.job]
+    return job.steps[task_id.occurrence, task_id.step].tasks[task_id.index]
+
+
+def list_tasks(cluster: Cluster, job: str, step: int = 0) -> list[Task]:
+    """Return the tasks of a step of a job's first occurrence."""
+    return cluster.jobs[job].steps[0, step].tasks
+
+
+def report(
+    cluster: Cluster,
+    name: str,
+    now: float,
+    running: tuple[RunningTask, ...] = (),
+    ended: tuple[EndedTask, ...] = (),
+    sent_at: float | None = None,
+    started_ms: int = 1,
+) -> list[Order]:
+    """Apply a report of a worker that was asked at ``sent_at``."""
+    worker = cluster.workers[name]
+    answer = WorkerReport(int(1000 + now * 1000), running, ended, started_ms)
+    asked = now if sent_at is None else sent_at
+    return apply_report(cluster, worker, answer, asked, now, WALL + now)
+
+
+def end_task(
+    cluster: Cluster, task: Task, kind: EndKind, now: float, checkpoint: str = ""
+) -> list[Order]:
+    """Let a task's worker list its end, and its other tasks as running."""
+    worker = cluster.workers[task.worker]
+    running = tuple(
+        RunningTask(other.id, other.run, other.checkpoint, 50)
+        for other in worker.tasks.values()
+        if other is not task
+    )
+    end = EndedTask(worker.seen + 1, task.id, task.run, kind, checkpoint)
+    return report(cluster, task.worker, now, running, (end,))
--- /dev/null
+++ b/tests/support/batch_processes.py
@@ -0,0 +1,179 @@
+"""Real daemons of the batch service with stand-ins of store and workers."""
+
+import json
+import tempfile
+from base64 import b64encode
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from urllib3.exceptions import HTTPError
+
+from tests.support.processes import Process, call, find_free_port, wait_until
+
+KEY = "key-1"
+HEADERS = {"Host": "desk.example", "Api-Key": KEY, "Content-Type": "application/json"}
+STEP = {"Count": 2, "Cpu": 1000, "MemMb": 1000, "Gpu": 1, "EstRuntimeMs": 500}
+
+
+@dataclass(slots=True)
+class Installation:
+    """Processes of one installation on the loopback address."""
+
+    folder: Path
+    store: Process
+    store_address: str
+    daemons: dict[str, Process] = field(default_factory=dict)
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    workers: dict[str, Process] = field(default_factory=dict)
+    version: int = 0
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in (*self.daemons.values(), *self.workers.values(), self.store):
+            process.close()
+
+    def write_config(self, keys: tuple[str, ...] = (KEY,)) -> None:
+        """Write the next version of the configuration as the operator does."""
+        self.version += 1
+        self.put("op", "config", make_config(self.version, keys))
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        """Write a row as the platform does."""
+        data = b64encode(json.dumps(value).encode()).decode()
+        body = json.dumps({"Writes": [{"Table": table, "Key": key, "Value": data}]})
+        assert call("POST", self.store.address, "/rows-tx", body=body).status == 200
+
+    def break_store(self, **fault: Any) -> None:
+        """Change how the store behaves."""
+        set_fault(self.store, **fault)
+
+    def compact(self) -> None:
+        """Let the store drop its history."""
+        call("POST", self.store.address, "/compact")
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon, or start it again with the settings that it had."""
+        cfg = self.settings.setdefault(name, self._make_settings(name))
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(cfg))
+        args = ["-m", "geraniumwell", "serve-platform", str(path)]
+        self.daemons[name] = Process(args, cfg["callers"])
+
+    def _make_settings(self, name: str) -> dict[str, Any]:
+        kinds = ("callers", "readiness", "metrics")
+        addresses = {kind: f"127.0.0.1:{find_free_port()}" for kind in kinds}
+        return {
+            "vm": name,
+            "data_centre": "dc-1",
+            "region": "test",
+            "store": self.store_address,
+            **addresses,
+        }
+
+    def start_worker(self, name: str, seconds: float = 0.4) -> None:
+        """Start a worker that registers itself."""
+        port = find_free_port()
+        args = [str(port), self.store.address, name, "pool", "r1", str(seconds)]
+        module = ["-m", "stand_ins.task_worker"]
+        process = Process(module + args + [str(self.record_path)])
+        process.address = f"127.0.0.1:{port}"
+        self.workers[name] = process
+
+    @property
+    def record_path(self) -> Path:
+        """File with the starts and ends of all workers."""
+        return self.folder / "record.jsonl"
+
+    def read_record(self) -> list[dict[str, Any]]:
+        """Return all starts and ends so far, in the order of their times."""
+        if not self.record_path.exists():
+            return []
+        lines = self.record_path.read_text().splitlines()
+        return sorted((json.loads(ln) for ln in lines), key=lambda item: item["at"])
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether a daemon reports itself as ready."""
+        address = self.settings[name]["readiness"]
+        try:
+            return call("GET", address, "/ready").status == 200
+        except HTTPError:
+            return False
+
+    def find_scheduler(self) -> str:
+        """Return the daemon that schedules, or an empty string."""
+        return self.find_scheduler_among(tuple(self.daemons))
+
+    def find_scheduler_among(self, names: tuple[str, ...]) -> str:
+        """Return which of some daemons schedules, or an empty string."""
+        for name in names:
+            if self.daemons[name].exit_status is not None:
+                continue
+            try:
+                data = call("GET", self.settings[name]["metrics"], "/metrics").data
+            except HTTPError:
+                continue
+            if b"geraniumwell_batch_is_scheduling 1.0" in data:
+                return name
+        return ""
+
+    def ask(self, name: str, method: str, job_id: str = "", **kwargs: Any) -> Any:
+        """Make a client's call to a daemon."""
+        headers = kwargs.pop("headers", HEADERS)
+        address = self.settings[name]["callers"]
+        return call(method, address, f"/desk/{job_id}", headers=headers, **kwargs)
+
+    def submit(self, name: str, job_id: str, **step: Any) -> int:
+        """Hand a job of one step in; return the status of the answer."""
+        body = json.dumps({"Spec": job_id, "Steps": [STEP | step]})
+        return self.ask(name, "POST", job_id, body=body).status
+
+    def find_state(self, name: str, job_id: str) -> str:
+        """Return the state of a job, or the status of a refusal."""
+        resp = self.ask(name, "GET", job_id)
+        return resp.json()["State"] if resp.status == 200 else str(resp.status)
+
+
+def set_fault(process: Process, **fault: Any) -> None:
+    """Change how a stand-in behaves."""
+    call("POST", process.address, "/faults", body=json.dumps(fault))
+
+
+def make_config(version: int, keys: tuple[str, ...]) -> dict[str, Any]:
+    """Return a configuration with one queue and one organisation."""
+    route = {
+        "Name": "desk",
+        "Host": "desk.example",
+        "PathPrefix": "/desk/",
+        "RouteKind": "unsafe",
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 1000,
+        "Priority": 1,
+        "Service": "pool",
+        "MaxAttempts": 3,
+        "Stretch": 3.0,
+    }
+    return {
+        "Version": version,
+        "Routes": [route],
+        "Services": [{"Name": "pool", "EnforcesCapacity": False}],
+        "Limits": {"MaxBodyBytes": 262144},
+        "Tenants": [{"Name": "desks", "ApiKeys": list(keys), "Guaranteed": {"Gpu": 4}}],
+    }
+
+
+def start_installation(daemons: int, workers: int, seconds: float) -> Installation:
+    """Start store, workers and daemons, and wait until jobs can be taken."""
+    folder = Path(tempfile.mkdtemp(prefix="geraniumwell-"))
+    port = find_free_port()
+    store = Process(["-m", "stand_ins.table_store", str(port), "1"])
+    found = Installation(folder, store, store.address)
+    found.write_config()
+    for number in range(1, workers + 1):
+        found.start_worker(f"w{number}", seconds)
+    for number in range(1, daemons + 1):
+        found.start_daemon(f"d{number}")
+    for name in found.daemons:
+        wait_until(lambda name=name: found.is_ready(name), f"{name} being ready")
+    wait_until(lambda: bool(found.find_scheduler()), "a daemon scheduling")
+    return found
