Let a daemon reach the store by way of another

Ruled out: moving callers away, because their open connections stay; a longer claim, because it slows real takeovers.

Change: each daemon answers calls to the store for the others over gRPC; all clients of the store fall back on it, and the watch of the configuration finds when the store is back. Addresses are rows of the store. The log is flushed before.

--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -101,7 +101,8 @@
 PLAN_GAP_SECONDS = 0.02
 # Longest time between rounds; leases lapse and stops are repeated without messages.
 PLAN_IDLE_SECONDS = 0.25
-FEED_WAIT_SECONDS = 2.0
+# A connection that has gone silent shows only after this time.
+FEED_WAIT_SECONDS = 0.8
 # New jobs that come closer together are read in one call.
 FEED_GAP_SECONDS = 0.02
 RETRY_SECONDS = 0.1
--- a/geraniumwell/cli/main.py
+++ b/geraniumwell/cli/main.py
@@ -1,5 +1,6 @@
 """Entry point of the command line."""
 
+import os
 import sys
 from argparse import RawDescriptionHelpFormatter
 from pathlib import Path
@@ -12,6 +13,7 @@
 from geraniumwell.exceptions import GeraniumwellError
 from geraniumwell.helpers.logging import set_up_log
 
+LOG_FLUSH_SECONDS = 0.5
 EXIT_USAGE = 2
 EXIT_SYNTAX = 3
 EXIT_REFUSED = 4
@@ -86,12 +88,16 @@
     from geraniumwell.platform.settings import load_platform_settings
 
     cfg = load_platform_settings(settings)
-    set_up_event_log(cfg.vm, cfg.log_level)
+    writer = set_up_event_log(cfg.vm, cfg.log_level)
     daemon = PlatformDaemon(cfg)
     for number in (SIGTERM, SIGINT):
         signal(number, lambda *_: daemon.request_stop())
     signal(SIGHUP, lambda *_: None)
     daemon.run()
+    writer.flush(LOG_FLUSH_SECONDS)
+    # The interpreter's own shutdown can wait for ever for the threads of gRPC. All that
+    # must last is in the store.
+    os._exit(0)
 
 
 def check(settings: Path) -> None:
--- /dev/null
+++ b/geraniumwell/clients/table_relay.py
@@ -0,0 +1,214 @@
+"""Table store by way of another daemon, for a daemon that can't reach it itself."""
+
+from typing import Any
+
+from grpc import Channel, RpcError, StatusCode, insecure_channel
+
+from geraniumwell.clients.table import (
+    Committed,
+    Conflict,
+    RowRange,
+    StoreError,
+    StoreRefusedError,
+    StoreUnknownError,
+    TableClient,
+    TableTransaction,
+)
+from geraniumwell.codec.json import CodecError
+from geraniumwell.codec.table_relay import (
+    CODE_CONFLICT,
+    METHOD_COMMIT,
+    METHOD_READ,
+    METHOD_WATCH,
+    ReadCall,
+    RelayedAnswer,
+    WatchCall,
+    decode_relayed,
+    encode_relayed,
+    raise_error,
+)
+from geraniumwell.helpers.batch_metrics import RELAYED
+
+RELAY_SERVICE = "geraniumwell.StoreRelay"
+# The other daemon's own call takes up to a second.
+RELAY_SECONDS = 1.3
+# Peers that are asked before a call counts as failed.
+RELAY_TRIES = 2
+# A peer that came back is reached again within this time.
+CHANNEL_OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.min_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.enable_http_proxy", 0),
+)
+
+
+class PeerDirectory:
+    """Addresses of the other daemons; replaced as a whole by their keeper."""
+
+    __slots__ = ("_channels", "addresses")
+
+    def __init__(self) -> None:
+        self.addresses: tuple[str, ...] = ()
+        self._channels: dict[str, Channel] = {}
+
+    def prefer(self, address: str) -> None:
+        """Ask a peer that has answered first from now on."""
+        rest = tuple(item for item in self.addresses if item != address)
+        self.addresses = (address, *rest)
+
+    def defer(self, address: str) -> None:
+        """Ask a peer that has not answered last from now on."""
+        rest = tuple(item for item in self.addresses if item != address)
+        self.addresses = (*rest, address)
+
+    def get_channel(self, address: str) -> Channel:
+        """Return the channel to a peer."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = insecure_channel(address, options=CHANNEL_OPTIONS)
+            # Another thread may have made one meanwhile; either will do.
+            self._channels[address] = channel
+        return channel
+
+
+class RelayTableClient:
+    """Makes each call through a daemon that may reach the store."""
+
+    __slots__ = ("_peers",)
+
+    def __init__(self, peers: PeerDirectory) -> None:
+        self._peers = peers
+
+    def commit(self, transaction: TableTransaction) -> Committed | Conflict:
+        """Carry a transaction out."""
+        answer = self._call(METHOD_COMMIT, transaction)
+        if answer.code == CODE_CONFLICT:
+            return Conflict(answer.rows)
+        return Committed(answer.version)
+
+    def read(self, table: str, first: str = "", limit: int = 0) -> RowRange:
+        """Return rows in the order of their keys, from ``first`` on."""
+        answer = self._call(METHOD_READ, ReadCall(table, first, limit))
+        return RowRange(answer.rows, answer.version, answer.is_partial)
+
+    def watch(self, table: str, after: int, seconds: float) -> RowRange:
+        """Return the rows changed after a version, once there are any."""
+        answer = self._call(METHOD_WATCH, WatchCall(table, after, seconds), seconds)
+        return RowRange(answer.rows, answer.version)
+
+    def close(self) -> None:
+        """Do nothing; the channels are shared."""
+
+    def _call(self, method: str, call: Any, wait_seconds: float = 0.0) -> RelayedAnswer:
+        error: StoreError = StoreRefusedError("no other daemon is known")
+        for address in self._peers.addresses[:RELAY_TRIES]:
+            try:
+                answer = self._ask(address, method, call, wait_seconds)
+            except StoreError as exc:
+                RELAYED.labels(method, exc.code).inc()
+                self._peers.defer(address)
+                # A call that may have been carried out stays so, whoever refuses next.
+                if not isinstance(error, StoreUnknownError):
+                    error = exc
+                continue
+            RELAYED.labels(method, answer.code).inc()
+            self._peers.prefer(address)
+            raise_error(answer)
+            return answer
+        raise error
+
+    def _ask(
+        self, address: str, method: str, call: Any, wait_seconds: float
+    ) -> RelayedAnswer:
+        multicall = self._peers.get_channel(address).unary_unary(
+            f"/{RELAY_SERVICE}/{method}"
+        )
+        try:
+            data = multicall(encode_relayed(call), timeout=RELAY_SECONDS + wait_seconds)
+            return decode_relayed(data, RelayedAnswer)
+        except RpcError as exc:
+            text = f"{method} by {address}: {exc.code()}"
+            if exc.code() is StatusCode.UNAVAILABLE and method != METHOD_COMMIT:
+                raise StoreRefusedError(text) from exc
+            raise StoreUnknownError(text) from exc
+        except CodecError as exc:
+            raise StoreUnknownError(f"{method} by {address}: {exc}") from exc
+
+
+class StoreHealth:
+    """Whether the store answers this daemon; shared by its clients."""
+
+    __slots__ = ("is_direct",)
+
+    def __init__(self) -> None:
+        self.is_direct = True
+
+
+class FailoverTableClient:
+    """Calls the store, or another daemon while the store does not answer.
+
+    A transaction that got no answer is sent again by the other way. Its conditions
+    keep it from taking effect twice, as in any other repetition.
+
+    Parameters
+    ----------
+    is_probing : bool
+        Whether calls always try the store first, and so find that it is back.
+    """
+
+    __slots__ = ("_direct", "_health", "_is_probing", "_relay")
+
+    def __init__(
+        self,
+        direct: TableClient,
+        relay: TableClient,
+        health: StoreHealth,
+        is_probing: bool = False,
+    ) -> None:
+        self._direct = direct
+        self._relay = relay
+        self._health = health
+        self._is_probing = is_probing
+
+    def commit(self, transaction: TableTransaction) -> Committed | Conflict:
+        """Carry a transaction out."""
+        return self._call(lambda client: client.commit(transaction))
+
+    def read(self, table: str, first: str = "", limit: int = 0) -> RowRange:
+        """Return rows in the order of their keys, from ``first`` on."""
+        return self._call(lambda client: client.read(table, first, limit))
+
+    def watch(self, table: str, after: int, seconds: float) -> RowRange:
+        """Return the rows changed after a version, once there are any."""
+        return self._call(lambda client: client.watch(table, after, seconds))
+
+    def close(self) -> None:
+        """Close the connection to the store."""
+        self._direct.close()
+
+    def _call(self, make: Any) -> Any:
+        if self._health.is_direct or self._is_probing:
+            first, second = self._call_direct, self._call_relay
+        else:
+            first, second = self._call_relay, self._call_direct
+        try:
+            return first(make)
+        except (StoreRefusedError, StoreUnknownError) as exc:
+            try:
+                return second(make)
+            except StoreRefusedError:
+                # The first call decides whether anything may have been carried out.
+                raise exc from None
+
+    def _call_direct(self, make: Any) -> Any:
+        try:
+            result = make(self._direct)
+        except (StoreRefusedError, StoreUnknownError):
+            self._health.is_direct = False
+            raise
+        self._health.is_direct = True
+        return result
+
+    def _call_relay(self, make: Any) -> Any:
+        return make(self._relay)
--- /dev/null
+++ b/geraniumwell/codec/table_relay.py
@@ -0,0 +1,94 @@
+"""Encoding of calls to the table store that one daemon makes for another."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import decode, encode
+
+from geraniumwell.clients.table import (
+    Committed,
+    Conflict,
+    HistoryLostError,
+    RowRange,
+    StoredRow,
+    StoreError,
+    StoreRefusedError,
+    StoreUnknownError,
+)
+from geraniumwell.codec.json import CodecError
+
+METHOD_COMMIT = "Commit"
+METHOD_READ = "Read"
+METHOD_WATCH = "Watch"
+CODE_CONFLICT = "conflict"
+CODE_OK = "ok"
+ERRORS: dict[str, type[StoreError]] = {
+    cls.code: cls for cls in (HistoryLostError, StoreRefusedError, StoreUnknownError)
+}
+
+
+@dataclass(slots=True, frozen=True)
+class ReadCall:
+    """A read of rows."""
+
+    table: str
+    first: str
+    limit: int
+
+
+@dataclass(slots=True, frozen=True)
+class WatchCall:
+    """A wait for changes."""
+
+    table: str
+    after: int
+    seconds: float
+
+
+@dataclass(slots=True, frozen=True)
+class RelayedAnswer:
+    """The store's answer, or the code of an error."""
+
+    code: str
+    detail: str = ""
+    version: int = 0
+    rows: tuple[StoredRow, ...] = ()
+    is_partial: bool = False
+
+
+def encode_relayed(value: Any) -> bytes:
+    """Return the bytes of a call or an answer."""
+    return encode(value)
+
+
+def decode_relayed(data: bytes, kind: Any) -> Any:
+    """Return the call or answer in bytes.
+
+    Raises
+    ------
+    CodecError
+        If they hold something else.
+    """
+    try:
+        return decode(data, type=kind)
+    except (DecodeError, ValidationError) as exc:
+        raise CodecError(f"not a {kind.__name__}: {exc}") from exc
+
+
+def pack_result(result: Committed | Conflict | RowRange) -> RelayedAnswer:
+    """Return a result as an answer."""
+    match result:
+        case Committed(version):
+            return RelayedAnswer(CODE_OK, version=version)
+        case Conflict(rows):
+            return RelayedAnswer(CODE_CONFLICT, rows=rows)
+        case RowRange(rows, version, is_partial):
+            return RelayedAnswer(CODE_OK, "", version, rows, is_partial)
+
+
+def raise_error(answer: RelayedAnswer) -> None:
+    """Raise the error that an answer tells of, if it does."""
+    if answer.code in (CODE_OK, CODE_CONFLICT):
+        return
+    raise ERRORS.get(answer.code, StoreUnknownError)(answer.detail)
--- a/geraniumwell/const.py
+++ b/geraniumwell/const.py
@@ -86,6 +86,7 @@
 
 # Tables and keys of the batch service in the platform's store.
 TABLE_CONTROL: Final = "gw-control"
+TABLE_DAEMONS: Final = "gw-daemons"
 TABLE_JOBS: Final = "gw-jobs"
 TABLE_PROGRESS: Final = "gw-progress"
 LEADER_KEY: Final = "leader"
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -32,3 +32,9 @@
 IS_SCHEDULING = Gauge(
     "geraniumwell_batch_is_scheduling", "1 while this daemon schedules, else 0."
 )
+RELAYED = Counter(
+    "geraniumwell_batch_relayed_calls",
+    "Calls to the store by way of another daemon, by method and result.",
+    ("method", "result"),
+)
+PEERS = Gauge("geraniumwell_batch_peers", "Other daemons that are known.")
--- a/geraniumwell/helpers/events.py
+++ b/geraniumwell/helpers/events.py
@@ -33,12 +33,13 @@
         Writes text and may block.
     """
 
-    __slots__ = ("_lines", "_ready", "_thread", "_write")
+    __slots__ = ("_is_writing", "_lines", "_ready", "_thread", "_write")
 
     def __init__(self, write: Any) -> None:
         self._lines: deque[str] = deque()
         self._ready = Condition()
         self._write = write
+        self._is_writing = False
         self._thread = Thread(target=self._run, name="log", daemon=True)
         self._thread.start()
 
@@ -49,15 +50,24 @@
                 DROPPED.labels("slow_reader").inc()
                 return
             self._lines.append(line)
-            self._ready.notify()
+            self._ready.notify_all()
+
+    def flush(self, seconds: float) -> None:
+        """Wait until all lines are written, but no longer than a time limit."""
+        with self._ready:
+            self._ready.wait_for(
+                lambda: not self._lines and not self._is_writing, seconds
+            )
 
     def _run(self) -> None:
         while True:
             with self._ready:
-                while not self._lines:
-                    self._ready.wait()
+                self._is_writing = False
+                self._ready.notify_all()
+                self._ready.wait_for(lambda: self._lines)
                 text = "".join(self._lines)
                 self._lines.clear()
+                self._is_writing = True
             self._write(text)
 
 
@@ -122,12 +132,13 @@
 EVENTS = EventLog()
 
 
-def set_up_event_log(daemon: str, level: str) -> None:
-    """Send all log lines of this process to standard output."""
+def set_up_event_log(daemon: str, level: str) -> LineWriter:
+    """Send all log lines of this process to standard output; return their writer."""
     EVENTS.set_daemon(daemon)
     writer = LineWriter(write_to_stdout)
     logger.remove()
     logger.add(writer.put, level=level, format="{message}")
+    return writer
 
 
 def write_to_stdout(text: str) -> None:
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -11,10 +11,19 @@
 from geraniumwell.actors.batch.catalog_keeper import CatalogKeeper
 from geraniumwell.actors.batch.elector import Elector
 from geraniumwell.actors.batch.job_desk import JobDesk
+from geraniumwell.actors.batch.peer_keeper import PeerKeeper
 from geraniumwell.actors.batch.scheduler import SchedulerParts
+from geraniumwell.actors.batch.store_relay import StoreRelay
 from geraniumwell.actors.batch.table_feed import TableFeed
 from geraniumwell.actors.draining_server import DrainingServer
 from geraniumwell.actors.ticker import Ticker
+from geraniumwell.clients.table import TableClient
+from geraniumwell.clients.table_relay import (
+    FailoverTableClient,
+    PeerDirectory,
+    RelayTableClient,
+    StoreHealth,
+)
 from geraniumwell.commands.batch.leadership import make_holder
 from geraniumwell.helpers.events import EVENTS
 from geraniumwell.messages.batch import (
@@ -27,7 +36,7 @@
 from geraniumwell.platform.decode import decode_catalog, decode_entry
 from geraniumwell.platform.front import FrontApp
 from geraniumwell.platform.settings import PlatformSettings
-from geraniumwell.platform.store import HttpTableClient
+from geraniumwell.platform.store import READ_SECONDS, HttpTableClient
 from geraniumwell.platform.workers import HttpTaskWorkerClient
 from geraniumwell.util.ids import make_token_hex
 
@@ -91,6 +100,7 @@
         "_front",
         "_front_thread",
         "_is_stopping",
+        "_relay",
         "_side",
         "_ticker",
         "_wake",
@@ -102,13 +112,22 @@
         self._wake = Event()
         self._ticker = Ticker()
         keeper = CatalogKeeper.start(KEY_CONFIG, decode_catalog)
-        parts = make_parts(cfg, self._ticker)
+        directory, health = PeerDirectory(), StoreHealth()
+        parts = make_parts(cfg, self._ticker, directory, health)
+        PeerKeeper.start(
+            cfg.vm,
+            cfg.relay,
+            make_store(cfg, directory, health),
+            directory,
+            self._ticker,
+        )
+        self._relay = StoreRelay(cfg.relay, lambda: HttpTableClient(cfg.store))
         self._elector: ActorRef = Elector.start(
             make_holder(cfg.vm, make_token_hex(4)), parts
         )
         keeper.tell(CatalogSubscription(self._elector))
         feed = TableFeed.start(
-            HttpTableClient(cfg.store, CONFIG_READ_SECONDS),
+            make_store(cfg, directory, health, CONFIG_READ_SECONDS, is_probing=True),
             TABLE_OPERATOR,
             keeper,
             self._ticker,
@@ -139,6 +158,7 @@
     def run(self) -> None:
         """Serve until ``request_stop`` is called."""
         self._ticker.start()
+        self._relay.start()
         self._front_thread.start()
         Thread(target=self._side.run, name="side", daemon=True).start()
         EVENTS.write("daemon_started", vm=self._cfg.vm, callers=self._cfg.callers)
@@ -157,11 +177,33 @@
         Event().wait(STOP_NOTICE_SECONDS)
         self._front.request_drain()
         self._front_thread.join(DRAIN_SECONDS)
+        self._relay.close()
         EVENTS.write("daemon_stopped", is_drained=not self._front_thread.is_alive())
         ActorRegistry.stop_all(block=False)
 
 
-def make_parts(cfg: PlatformSettings, ticker: Ticker) -> SchedulerParts:
+def make_store(
+    cfg: PlatformSettings,
+    directory: PeerDirectory,
+    health: StoreHealth,
+    read_seconds: float = READ_SECONDS,
+    is_probing: bool = False,
+) -> TableClient:
+    """Return a client of the store that falls back on the other daemons."""
+    return FailoverTableClient(
+        HttpTableClient(cfg.store, read_seconds),
+        RelayTableClient(directory),
+        health,
+        is_probing,
+    )
+
+
+def make_parts(
+    cfg: PlatformSettings,
+    ticker: Ticker,
+    directory: PeerDirectory,
+    health: StoreHealth,
+) -> SchedulerParts:
     """Return what the scheduler needs of the platform."""
     policy = BatchPolicy(
         cfg.lease_limit_ms / 1000,
@@ -174,7 +216,7 @@
     return SchedulerParts(
         policy,
         ticker,
-        lambda: HttpTableClient(cfg.store),
+        lambda: make_store(cfg, directory, health),
         HttpTaskWorkerClient,
         TABLE_REGISTRY,
         decode_entry,
--- a/geraniumwell/platform/settings.py
+++ b/geraniumwell/platform/settings.py
@@ -15,8 +15,8 @@
 
     Parameters
     ----------
-    callers, readiness, metrics : str
-        Addresses ``ip:port`` on which the daemon listens.
+    callers, readiness, metrics, relay : str
+        Addresses ``ip:port`` on which the daemon listens; the last for other daemons.
     store : str
         Address of the platform's table store.
     memory_mb : int
@@ -31,6 +31,7 @@
     callers: str
     readiness: str
     metrics: str
+    relay: str
     store: str
     memory_mb: int = 300
     grace_seconds: float = 6.0
--- a/stand_ins/server.py
+++ b/stand_ins/server.py
@@ -1,6 +1,7 @@
 """HTTP server base of the stand-ins."""
 
 import json
+import sys
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -14,6 +15,11 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Report all errors but those of clients that were killed."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
 
 def make_handler(handle: Handle) -> type[BaseHTTPRequestHandler]:
     """Return a handler class that reads the body and calls ``handle``."""
--- a/tests/actors/batch/whole_path.feature
+++ b/tests/actors/batch/whole_path.feature
@@ -86,3 +86,13 @@
     And all daemons are killed and started again
     Then the job "00000000000000a1" becomes "done" at "d1"
     And each task ran to its end exactly once
+
+  Scenario: A daemon that the store does not answer takes jobs through another
+    Given 2 daemons and 1 workers whose tasks take 0.3 seconds, where "d2" has a relay to the store
+    When the relay of "d2" is cut
+    And the job "00000000000000a1" is handed in at "d2"
+    Then the job "00000000000000a1" becomes "done" at "d2"
+    And each task ran to its end exactly once
+    When the operator takes the key away
+    Then both daemons refuse the key
+    And the daemon "d2" stays ready
--- a/tests/actors/batch/whole_path_steps.py
+++ b/tests/actors/batch/whole_path_steps.py
@@ -12,6 +12,7 @@
     start_installation,
 )
 from tests.support.processes import wait_until
+from tests.support.relay import TO_CLIENT, TO_SERVER
 
 
 @given(
@@ -197,3 +198,29 @@
 def count(context: Context, what: str) -> int:
     """Return how often the workers recorded something."""
     return sum(item["what"] == what for item in site_of(context).read_record())
+
+
+@given(
+    "{daemons:d} daemons and {workers:d} workers whose tasks take {seconds:g} seconds,"
+    ' where "{name}" has a relay to the store'
+)
+def step_relayed_installation(
+    context: Context, daemons: int, workers: int, seconds: float, name: str
+) -> None:
+    found = start_installation(daemons, workers, seconds, relayed=(name,))
+    context.processes.append(found)
+    context.site = found
+    # Every daemon must know the other before the cut.
+    wait_until(lambda: len(found.list_rows("gw-daemons")) == daemons, "known peers")
+    for daemon in found.daemons:
+        wait_until(lambda daemon=daemon: found.knows_peers(daemon), "a read of peers")
+
+
+@when('the relay of "{name}" is cut')
+def step_cut(context: Context, name: str) -> None:
+    site_of(context).relays[name].cut(TO_SERVER, TO_CLIENT)
+
+
+@then('the daemon "{name}" stays ready')
+def step_ready(context: Context, name: str) -> None:
+    assert site_of(context).is_ready(name)
--- a/tests/support/batch_processes.py
+++ b/tests/support/batch_processes.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from tests.support.processes import Process, call, find_free_port, wait_until
+from tests.support.relay import Relay
 
 KEY = "key-1"
 HEADERS = {"Host": "desk.example", "Api-Key": KEY, "Content-Type": "application/json"}
@@ -26,6 +27,8 @@
     daemons: dict[str, Process] = field(default_factory=dict)
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     workers: dict[str, Process] = field(default_factory=dict)
+    stores: dict[str, str] = field(default_factory=dict)
+    relays: dict[str, Relay] = field(default_factory=dict)
     version: int = 0
 
     def close(self) -> None:
@@ -48,6 +51,17 @@
         """Change how the store behaves."""
         set_fault(self.store, **fault)
 
+    def list_rows(self, table: str) -> list[dict[str, Any]]:
+        """Return the rows of a table of the store."""
+        return call("GET", self.store.address, f"/rows-get?Table={table}").json()[
+            "rows"
+        ]
+
+    def knows_peers(self, name: str) -> bool:
+        """Tell whether a daemon has read the addresses of the others."""
+        data = call("GET", self.settings[name]["metrics"], "/metrics").data
+        return f"geraniumwell_batch_peers {len(self.daemons) - 1}.0".encode() in data
+
     def compact(self) -> None:
         """Let the store drop its history."""
         call("POST", self.store.address, "/compact")
@@ -61,13 +75,13 @@
         self.daemons[name] = Process(args, cfg["callers"])
 
     def _make_settings(self, name: str) -> dict[str, Any]:
-        kinds = ("callers", "readiness", "metrics")
+        kinds = ("callers", "readiness", "metrics", "relay")
         addresses = {kind: f"127.0.0.1:{find_free_port()}" for kind in kinds}
         return {
             "vm": name,
             "data_centre": "dc-1",
             "region": "test",
-            "store": self.store_address,
+            "store": self.stores.get(name, self.store_address),
             **addresses,
         }
 
@@ -162,12 +176,20 @@
     }
 
 
-def start_installation(daemons: int, workers: int, seconds: float) -> Installation:
-    """Start store, workers and daemons, and wait until jobs can be taken."""
+def start_installation(
+    daemons: int, workers: int, seconds: float, relayed: tuple[str, ...] = ()
+) -> Installation:
+    """Start store, workers and daemons, and wait until jobs can be taken.
+
+    Daemons that are ``relayed`` reach the store through a relay that can be cut.
+    """
     folder = Path(tempfile.mkdtemp(prefix="geraniumwell-"))
     port = find_free_port()
     store = Process(["-m", "stand_ins.table_store", str(port), "1"])
     found = Installation(folder, store, store.address)
+    for name in relayed:
+        found.relays[name] = Relay(store.address)
+        found.stores[name] = found.relays[name].address
     found.write_config()
     for number in range(1, workers + 1):
         found.start_worker(f"w{number}", seconds)
