Explain a job from the logs of all daemons

Cause: the on-call engineer has only logs and metrics; lines of several daemons had to be read by hand.

Ruled out: sorting by time alone, because clocks of daemons differ by more than the 10 ms between an acceptance and the first start.

Change: 'geraniumwell trace' orders the lines of an id by time and cause and names the cause in one sentence; the end of each job is logged once it is visible, with counters and a histogram.

--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -54,6 +54,8 @@
 from geraniumwell.const import TABLE_JOBS, TABLE_PROGRESS
 from geraniumwell.helpers.batch_metrics import (
     ENDS,
+    JOB_SECONDS,
+    JOBS,
     ORDERS,
     PLAN_SECONDS,
     RUNNING,
@@ -93,6 +95,7 @@
     StartTask,
     StopTask,
 )
+from geraniumwell.model.batch.job import ENDED_STATES
 from geraniumwell.model.batch.worker import StartResult, WorkerEntry
 from geraniumwell.queries.batch.status import count_pending
 from geraniumwell.util.clock import steady_seconds, steady_wall_seconds
@@ -148,6 +151,7 @@
         self._planned_at = 0.0
         self._is_renewal_due = False
         self._feeds: list[ActorRef] = []
+        self._told: set[str] = set()
         self._fleet = Fleet(claim.row.epoch, self.actor_ref, parts.make_worker)
 
     def on_start(self) -> None:
@@ -338,9 +342,28 @@
         if not flight.row.holder:
             self._end("released")
             return
+        for job_id in flight.jobs:
+            self._log_job_end(job_id)
         for order in flight.orders:
             self._send_start(order, now)
 
+    def _log_job_end(self, job_id: str) -> None:
+        """Tell of a final state once callers can see it."""
+        job = self._cluster.jobs.get(job_id)
+        if job is None or job.state not in ENDED_STATES or job_id in self._told:
+            return
+        self._told.add(job_id)
+        JOBS.labels(job.state.value).inc()
+        seconds = job.ended_at - job.spec.accepted_at
+        JOB_SECONDS.labels(str(job.spec.priority)).observe(max(0.0, seconds))
+        EVENTS.write(
+            "job_ended",
+            job=job_id,
+            queue=job.spec.queue,
+            state=job.state.value,
+            seconds=round(seconds, 3),
+        )
+
     def _end(self, reason: str) -> None:
         self._journal.valid_until = 0.0
         EVENTS.write("scheduler_ended", epoch=self._cluster.epoch, reason=reason)
@@ -494,7 +517,9 @@
             self._carry_out(plan(self._cluster, now, wall_now))
         for worker_id in forget_gone_workers(self._cluster):
             self._fleet.drop(worker_id)
-        self._journal.removals += forget_old_jobs(self._cluster, wall_now)
+        old = forget_old_jobs(self._cluster, wall_now)
+        self._journal.removals += old
+        self._told.difference_update(old)
         WAITING.set(sum(count_pending(self._cluster).values()))
         RUNNING.set(sum(len(w.tasks) for w in self._cluster.workers.values()))
 
--- a/geraniumwell/cli/main.py
+++ b/geraniumwell/cli/main.py
@@ -9,6 +9,7 @@
 from defopt import run
 
 from geraniumwell.cli.operate import ask, do
+from geraniumwell.cli.trace import trace
 from geraniumwell.codec.settings import load_settings
 from geraniumwell.exceptions import GeraniumwellError
 from geraniumwell.helpers.logging import set_up_log
@@ -116,7 +117,7 @@
     """Run the command that the arguments name."""
     try:
         run(
-            [serve, serve_platform, check, ask, do],
+            [serve, serve_platform, check, ask, do, trace],
             cli_options="has_default",
             argparse_kwargs={
                 "prog": "geraniumwell",
--- /dev/null
+++ b/geraniumwell/cli/trace.py
@@ -0,0 +1,41 @@
+"""The command that explains a request or job from the logs."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+from geraniumwell.exceptions import UsageError
+from geraniumwell.queries.batch.trace import LogLine, explain, read_lines, trace_id
+
+
+def trace(logs: list[Path], *, id: str) -> None:
+    """Tell what happened to a request or job, from the logs of all daemons.
+
+    Parameters
+    ----------
+    logs : list of Path
+        Files with the standard output of the daemons.
+    id : str
+        Id of the job.
+    """
+    lines, others = read_lines(iterate_lines(logs))
+    found = trace_id(lines, id, others)
+    shown = sorted([*found.lines, *found.takeovers], key=lambda line: line.at)
+    for line in shown:
+        print(render_line(line, shown[0].at))
+    print(explain(found))
+
+
+def iterate_lines(logs: list[Path]) -> Iterator[str]:
+    """Return the lines of all files."""
+    for path in logs:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as text:
+                yield from text
+        except OSError as exc:
+            raise UsageError(str(path), f"a readable file ({exc.strerror})") from exc
+
+
+def render_line(line: LogLine, first: float) -> str:
+    """Return a line as a person reads it."""
+    fields = " ".join(f"{key}={value}" for key, value in line.fields.items())
+    return f"{line.at - first:9.3f} s  {line.daemon:24} {line.event:16} {fields}"
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -38,3 +38,10 @@
     ("method", "result"),
 )
 PEERS = Gauge("geraniumwell_batch_peers", "Other daemons that are known.")
+JOBS = Counter("geraniumwell_batch_jobs", "Jobs that ended, by state.", ("state",))
+JOB_SECONDS = Histogram(
+    "geraniumwell_batch_job_seconds",
+    "Time from acceptance to the end of a job, by the priority of its queue.",
+    ("priority",),
+    buckets=(0.5, 1, 2, 4, 8, 16, 32, 64, 128, 512),
+)
--- /dev/null
+++ b/geraniumwell/queries/batch/trace.py
@@ -0,0 +1,162 @@
+"""Puts the log lines about one request or job in order and names the cause."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from msgspec import DecodeError
+from msgspec.json import decode
+
+# Order of events that cause each other; clocks of daemons may differ by more than
+# the time between them.
+CAUSAL_ORDER = (
+    "denied",
+    "job_unreadable",
+    "job_accepted",
+    "job_known",
+    "job_taken_up",
+    "start",
+    "start_failed",
+    "stop",
+    "end",
+    "cancel_accepted",
+    "job_cancelled",
+    "job_ended",
+)
+RUN_EVENTS = ("start", "start_failed", "stop", "end")
+# Times closer than this are ordered by cause instead.
+CLOCK_TOLERANCE_SECONDS = 0.05
+# A first start later than this after acceptance is worth a remark.
+LATE_START_SECONDS = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class LogLine:
+    """One line of a daemon's log.
+
+    Parameters
+    ----------
+    at : float
+        Unix time in seconds, by the daemon's own clock.
+    """
+
+    at: float
+    daemon: str
+    event: str
+    fields: dict[str, Any]
+
+
+@dataclass(slots=True)
+class Trace:
+    """What the logs tell of one request or job.
+
+    Parameters
+    ----------
+    takeovers : list of LogLine
+        Claims of the schedule between the first and the last line.
+    """
+
+    id: str
+    lines: list[LogLine] = field(default_factory=list)
+    takeovers: list[LogLine] = field(default_factory=list)
+    skipped: int = 0
+
+
+def read_lines(texts: Iterable[str]) -> tuple[list[LogLine], int]:
+    """Return the lines that are events, and how many others there were."""
+    lines: list[LogLine] = []
+    others = 0
+    for text in texts:
+        # Collectors put their own words before a line.
+        _, brace, rest = text.partition("{")
+        try:
+            fields = decode(brace + rest.rstrip())
+            at, daemon = fields.pop("time"), fields.pop("daemon")
+            lines.append(LogLine(at, daemon, fields.pop("event"), fields))
+        except (DecodeError, KeyError, AttributeError):
+            others += 1
+    return lines, others
+
+
+def trace_id(lines: list[LogLine], wanted: str, skipped: int = 0) -> Trace:
+    """Return what the logs tell of an id."""
+    own = [line for line in lines if is_about(line, wanted)]
+    own.sort(key=rank_line)
+    trace = Trace(wanted, own, skipped=skipped)
+    if own:
+        first, last = own[0].at, own[-1].at
+        trace.takeovers = [
+            line
+            for line in lines
+            if line.event == "claim_won" and first - 5.0 <= line.at <= last
+        ]
+    return trace
+
+
+def is_about(line: LogLine, wanted: str) -> bool:
+    """Tell whether a line is about an id."""
+    if line.fields.get("job") == wanted:
+        return True
+    return wanted in str(line.fields.get("path", ""))
+
+
+def rank_line(line: LogLine) -> tuple[float, int]:
+    """Return the place of a line: by time, and by cause within the tolerance."""
+    event = line.event
+    cause = CAUSAL_ORDER.index(event) if event in CAUSAL_ORDER else len(CAUSAL_ORDER)
+    return (line.at // CLOCK_TOLERANCE_SECONDS, cause)
+
+
+def explain(trace: Trace) -> str:
+    """Return the cause of what happened to an id, in one sentence."""
+    by_event: dict[str, list[LogLine]] = {}
+    for line in trace.lines:
+        by_event.setdefault(line.event, []).append(line)
+    if not trace.lines:
+        return f"No log line tells of {trace.id}: it never reached these daemons."
+    if ends := by_event.get("job_ended"):
+        return _explain_end(trace, by_event, ends[-1])
+    if denied := by_event.get("denied"):
+        fields = denied[-1].fields
+        return (
+            f"Refused as {fields['code']} under configuration {fields['version']};"
+            " it did not run."
+        )
+    if by_event.get("job_unreadable"):
+        return "Refused because its body holds no job that could run."
+    if "job_accepted" not in by_event and (failed := by_event.get("call_failed")):
+        fields = failed[-1].fields
+        return (
+            f"Not accepted: the store gave {fields['outcome']} to"
+            f" {fields['call']} ({fields['detail']})."
+        )
+    if "start" not in by_event:
+        return "Accepted, and not started yet: no room, or no daemon schedules."
+    return f"Accepted and not ended yet, after {len(by_event['start'])} starts."
+
+
+def _explain_end(trace: Trace, by_event: dict[str, list[LogLine]], end: LogLine) -> str:
+    state = end.fields["state"]
+    runs = [line for line in by_event.get("end", []) if line.fields["how"] != "done"]
+    parts: list[str] = []
+    delay = find_start_delay(by_event)
+    if delay is not None and delay > LATE_START_SECONDS:
+        cause = "a takeover" if trace.takeovers else "want of room"
+        parts.append(f"its first start came {delay:.1f} s after it, by {cause}")
+    for how in sorted({line.fields["how"] for line in runs}):
+        on = [line.fields["on"] for line in runs if line.fields["how"] == how]
+        places = ", ".join(sorted(set(on)))
+        parts.append(f"{len(on)} runs ended as {how} on {places}")
+    if failed := by_event.get("start_failed"):
+        codes = ", ".join(sorted({line.fields["code"] for line in failed}))
+        parts.append(f"{len(failed)} starts failed ({codes})")
+    detail = "; ".join(parts) if parts else "nothing went wrong on the way"
+    return f"Ended as {state} {end.fields['seconds']:.1f} s after acceptance: {detail}."
+
+
+def find_start_delay(by_event: dict[str, list[LogLine]]) -> float | None:
+    """Return the time from acceptance to the first start, in seconds."""
+    accepted, starts = by_event.get("job_accepted"), by_event.get("start")
+    if not accepted or not starts:
+        return None
+    return starts[0].at - accepted[0].at
--- /dev/null
+++ b/tests/queries/batch/trace_steps.py
@@ -0,0 +1,33 @@
+"""Steps of explaining a job from logs."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from geraniumwell.queries.batch.trace import explain, read_lines, trace_id
+
+
+@given("the log lines")
+def step_lines(context: Context) -> None:
+    context.lines, context.others = read_lines(context.text.splitlines())
+
+
+@when('the id "{wanted}" is traced')
+def step_trace(context: Context, wanted: str) -> None:
+    context.trace = trace_id(context.lines, wanted, context.others)
+
+
+@then('the events are "{events}"')
+def step_events(context: Context, events: str) -> None:
+    found = [line.event for line in context.trace.lines]
+    assert found == events.split(), found
+
+
+@then("{count:d} line was left out")
+def step_left_out(context: Context, count: int) -> None:
+    assert context.trace.skipped == count
+
+
+@then('the explanation is "{text}"')
+def step_explanation(context: Context, text: str) -> None:
+    found = explain(context.trace)
+    assert found == text, found
