Log a worker's entry only when its state changes

The trace command's docstring broke the command line (found by tests/cli).

Ruled out: following the registry less often only, because a new entry should be used at once.

Change: a line for a new worker or state; entries are read at most four times a second. The docstring names the type as the parser reads it.

--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -108,6 +108,9 @@
 FEED_WAIT_SECONDS = 0.8
 # New jobs that come closer together are read in one call.
 FEED_GAP_SECONDS = 0.02
+# Each worker writes its entry every second or so; a leaving one may get tasks for some
+# two seconds more.
+REGISTRY_GAP_SECONDS = 0.25
 RETRY_SECONDS = 0.1
 # A tick may come this much before its time, because two clocks are used.
 TICK_SLACK_SECONDS = 0.002
@@ -230,7 +233,11 @@
         self._apply_job_rows(ranges[TABLE_JOBS].rows)
         self._is_loaded = True
         self._request_plan()
-        for table, gap in ((TABLE_JOBS, FEED_GAP_SECONDS), (self._parts.registry, 0.0)):
+        feeds = (
+            (TABLE_JOBS, FEED_GAP_SECONDS),
+            (self._parts.registry, REGISTRY_GAP_SECONDS),
+        )
+        for table, gap in feeds:
             feed = TableFeed.start(
                 self._parts.make_store(),
                 table,
@@ -291,9 +298,10 @@
         for row in rows:
             entry = None if row.is_deleted else self._decode_entry(row)
             if entry is not None:
-                apply_entry(self._cluster, entry, now)
-                state = "draining" if entry.is_draining else "ready"
-                EVENTS.write("worker_entry", worker=row.key, state=state)
+                is_new = apply_entry(self._cluster, entry, now)
+                if is_new:
+                    state = "draining" if entry.is_draining else "ready"
+                    EVENTS.write("worker_entry", worker=row.key, state=state)
                 continue
             EVENTS.write("worker_entry", worker=row.key, state="gone")
             if apply_absence(self._cluster, row.key):
--- a/geraniumwell/cli/trace.py
+++ b/geraniumwell/cli/trace.py
@@ -12,7 +12,7 @@
 
     Parameters
     ----------
-    logs : list of Path
+    logs : list[Path]
         Files with the standard output of the daemons.
     id : str
         Id of the job.
--- a/geraniumwell/commands/batch/registry.py
+++ b/geraniumwell/commands/batch/registry.py
@@ -8,19 +8,20 @@
 from geraniumwell.model.batch.worker import Worker, WorkerEntry, WorkerState
 
 
-def apply_entry(cluster: Cluster, entry: WorkerEntry, now: float) -> None:
-    """Take up a new or changed entry."""
+def apply_entry(cluster: Cluster, entry: WorkerEntry, now: float) -> bool:
+    """Take up an entry; return whether the worker is new or its state has changed."""
     worker = cluster.workers.get(entry.id)
+    before = worker.state if worker else None
     if worker is None:
         worker = Worker(entry, started_ms=entry.started_ms)
         cluster.workers[entry.id] = worker
     if entry.started_ms > worker.started_ms:
         note_life(cluster, worker, entry.started_ms)
-    was_draining = worker.state is WorkerState.DRAINING
     worker.entry = entry
     worker.state = WorkerState.DRAINING if entry.is_draining else WorkerState.READY
-    if entry.is_draining and not was_draining:
+    if entry.is_draining and before is not WorkerState.DRAINING:
         worker.drain_at = now
+    return worker.state is not before
 
 
 def apply_absence(cluster: Cluster, worker_id: str) -> bool:
