Group log lines by step and decode stored rows directly

Ruled out: a larger budget, because volume must stay bounded.

Change: one line for each step and run with its number of tasks and workers; rows are encoded and decoded without the detour over plain values.

--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -52,6 +52,7 @@
     restore_job,
 )
 from geraniumwell.const import TABLE_JOBS, TABLE_PROGRESS
+from geraniumwell.helpers.batch_lines import group_ends, group_orders, name_step
 from geraniumwell.helpers.batch_metrics import (
     ENDS,
     JOB_SECONDS,
@@ -352,8 +353,9 @@
             return
         for job_id in flight.jobs:
             self._log_job_end(job_id)
-        for order in flight.orders:
-            self._send_start(order, now)
+        sent = [order for order in flight.orders if self._send_start(order, now)]
+        for fields in group_orders(sent):
+            EVENTS.write("start", **fields)
 
     def _log_job_end(self, job_id: str) -> None:
         """Tell of a final state once callers can see it."""
@@ -398,20 +400,19 @@
             flight.sent_at = steady_seconds()
             tell(self._store, CommitRows(flight.row.counter, flight.transaction))
 
-    def _send_start(self, order: StartTask, now: float) -> None:
+    def _send_start(self, order: StartTask, now: float) -> bool:
+        """Send a planned start, and tell whether it was sent."""
         if not is_start_wanted(self._cluster, order):
-            return
+            return False
         if now >= self._journal.valid_until:
             # The next confirmed transaction makes the claim valid again.
             self._journal.orders.append(order)
-            return
+            return False
         task = find_task(self._cluster, order.id)
         assert task is not None
         task.is_order_sent = True
-        EVENTS.write(
-            "start", job=order.id.job, task=_name(order), run=order.run, on=order.worker
-        )
         self._fleet.send_start(self._cluster, order, self._journal.valid_until, now)
+        return True
 
     def _take_start(self, message: StartAnswered | StartNotSent | StartLost) -> None:
         now = steady_seconds()
@@ -437,7 +438,7 @@
         EVENTS.write(
             "start_failed",
             job=order.id.job,
-            task=_name(order),
+            step=name_step(order.id),
             run=order.run,
             on=order.worker,
             code=code,
@@ -473,33 +474,23 @@
 
     def _log_ends(self, message: WorkerSeen) -> None:
         worker = self._cluster.workers[message.worker]
-        for end in message.report.ended:
-            if end.number <= worker.seen:
-                continue
+        new = [end for end in message.report.ended if end.number > worker.seen]
+        for end in new:
             ENDS.labels(end.kind.value).inc()
-            EVENTS.write(
-                "end",
-                job=end.id.job,
-                task=_name(end),
-                run=end.run,
-                on=message.worker,
-                how=end.kind.value,
-            )
+        for fields in group_ends(message.worker, new):
+            EVENTS.write("end", **fields)
 
     def _carry_out(self, orders: list[Order]) -> None:
+        stops: list[StopTask] = []
         for order in orders:
             match order:
                 case StartTask():
                     self._journal.orders.append(order)
                 case StopTask():
-                    EVENTS.write(
-                        "stop",
-                        job=order.id.job,
-                        task=_name(order),
-                        run=order.run,
-                        on=order.worker,
-                    )
+                    stops.append(order)
                     self._fleet.send_stop(self._cluster, order)
+        for fields in group_orders(stops):
+            EVENTS.write("stop", **fields)
 
     def _request_plan(self) -> None:
         """Plan soon; messages that come close together share a round."""
@@ -541,7 +532,3 @@
 
     def _tick_after(self, seconds: float, name: str) -> None:
         self._parts.ticker.tick_after(seconds, self.actor_ref, name)
-
-
-def _name(item: Any) -> str:
-    return f"{item.id.occurrence}.{item.id.step}.{item.id.index}"
--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -4,7 +4,7 @@
 from zlib import compress, decompress
 from zlib import error as ZlibError
 
-from msgspec import DecodeError, ValidationError, convert, to_builtins
+from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import decode, encode
 
 from geraniumwell.codec.json import CodecError
@@ -24,12 +24,12 @@
 
 
 def _pack(value: Any) -> bytes:
-    return compress(encode(to_builtins(value)), COMPRESSION_LEVEL)
+    return compress(encode(value), COMPRESSION_LEVEL)
 
 
 def _unpack(data: bytes, kind: Any) -> Any:
     try:
-        return convert(decode(decompress(data)), kind)
+        return decode(decompress(data), type=kind)
     except (ZlibError, DecodeError, ValidationError) as exc:
         raise CodecError(f"row holds no {kind}: {exc}") from exc
 
--- a/geraniumwell/queries/batch/trace.py
+++ b/geraniumwell/queries/batch/trace.py
@@ -23,7 +23,6 @@
     "job_cancelled",
     "job_ended",
 )
-RUN_EVENTS = ("start", "start_failed", "stop", "end")
 # Times closer than this are ordered by cause instead.
 CLOCK_TOLERANCE_SECONDS = 0.05
 # A first start later than this after acceptance is worth a remark.
@@ -132,7 +131,8 @@
         )
     if "start" not in by_event:
         return "Accepted, and not started yet: no room, or no daemon schedules."
-    return f"Accepted and not ended yet, after {len(by_event['start'])} starts."
+    count = sum(line.fields["tasks"] for line in by_event["start"])
+    return f"Accepted and not ended yet, after {count} starts."
 
 
 def _explain_end(trace: Trace, by_event: dict[str, list[LogLine]], end: LogLine) -> str:
@@ -146,7 +146,8 @@
     for how in sorted({line.fields["how"] for line in runs}):
         on = [line.fields["on"] for line in runs if line.fields["how"] == how]
         places = ", ".join(sorted(set(on)))
-        parts.append(f"{len(on)} runs ended as {how} on {places}")
+        count = sum(ln.fields["tasks"] for ln in runs if ln.fields["how"] == how)
+        parts.append(f"{count} runs ended as {how} on {places}")
     if failed := by_event.get("start_failed"):
         codes = ", ".join(sorted({line.fields["code"] for line in failed}))
         parts.append(f"{len(failed)} starts failed ({codes})")
--- a/tests/queries/batch/trace.feature
+++ b/tests/queries/batch/trace.feature
@@ -6,7 +6,7 @@
       -5.9 node {"time":100.011,"daemon":"d2","event":"job_taken_up","job":"a1"}
       {"time":100.02,"daemon":"d1","event":"job_accepted","job":"a1","queue":"q"}
       not a line of the log
-      {"time":100.03,"daemon":"d2","event":"start","job":"a1","task":"0.0.0","run":1,"on":"w1"}
+      {"time":100.03,"daemon":"d2","event":"start","job":"a1","step":"0.0","run":1,"tasks":1,"on":"w1"}
       """
     When the id "a1" is traced
     Then the events are "job_accepted job_taken_up start"
@@ -18,7 +18,7 @@
       """
       {"time":100.0,"daemon":"d1","event":"job_accepted","job":"a1","queue":"q"}
       {"time":102.0,"daemon":"d2","event":"claim_won","epoch":2}
-      {"time":102.2,"daemon":"d2","event":"start","job":"a1","task":"0.0.0","run":1,"on":"w1"}
+      {"time":102.2,"daemon":"d2","event":"start","job":"a1","step":"0.0","run":1,"tasks":1,"on":"w1"}
       {"time":104.0,"daemon":"d2","event":"job_ended","job":"a1","state":"done","seconds":4.0}
       """
     When the id "a1" is traced
@@ -28,8 +28,8 @@
     Given the log lines
       """
       {"time":100.0,"daemon":"d1","event":"job_accepted","job":"a1","queue":"q"}
-      {"time":100.1,"daemon":"d1","event":"start","job":"a1","task":"0.0.0","run":1,"on":"w1"}
-      {"time":101.0,"daemon":"d1","event":"end","job":"a1","task":"0.0.0","run":1,"on":"w1","how":"failed"}
+      {"time":100.1,"daemon":"d1","event":"start","job":"a1","step":"0.0","run":1,"tasks":1,"on":"w1"}
+      {"time":101.0,"daemon":"d1","event":"end","job":"a1","step":"0.0","run":1,"tasks":1,"on":"w1","how":"failed"}
       {"time":101.1,"daemon":"d1","event":"job_ended","job":"a1","state":"failed","seconds":1.1}
       """
     When the id "a1" is traced
