Give a data centre that fell silent no tasks until it is heard

Change: after a call without an answer, no worker of that data centre gets tasks until one of them is heard; silent workers are looked at again also when they hold no tasks. The trace command takes its files as arguments.

--- a/geraniumwell/actors/batch/fleet.py
+++ b/geraniumwell/actors/batch/fleet.py
@@ -144,4 +144,5 @@
     """Tell whether a look would tell something new, or acknowledge an end."""
     if worker.tasks or worker.has_foreign or worker.saved > worker.acknowledged:
         return True
-    return not worker.is_fenced and worker.state is not WorkerState.GONE
+    is_unknown = worker.is_silent or not worker.is_fenced
+    return is_unknown and worker.state is not WorkerState.GONE
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -37,6 +37,7 @@
     is_start_wanted,
 )
 from geraniumwell.commands.batch.ends import apply_report
+from geraniumwell.commands.batch.health import note_silence
 from geraniumwell.commands.batch.lifecycle import (
     add_job,
     cancel_job,
@@ -454,7 +455,7 @@
             case WorkerNotSeen(_, code):
                 if not worker.is_silent:
                     EVENTS.write("worker_silent", worker=message.worker, code=code)
-                worker.is_silent = True
+                note_silence(worker, now)
                 worker.poll_after = now + SILENT_RETRY_SECONDS
                 if code == FencedError.code:
                     self._end("a worker has seen a higher epoch")
--- a/geraniumwell/cli/trace.py
+++ b/geraniumwell/cli/trace.py
@@ -7,12 +7,12 @@
 from geraniumwell.queries.batch.trace import LogLine, explain, read_lines, trace_id
 
 
-def trace(logs: list[Path], *, id: str) -> None:
+def trace(*logs: Path, id: str) -> None:
     """Tell what happened to a request or job, from the logs of all daemons.
 
     Parameters
     ----------
-    logs : list[Path]
+    *logs : Path
         Files with the standard output of the daemons.
     id : str
         Id of the job.
@@ -25,7 +25,7 @@
     print(explain(found))
 
 
-def iterate_lines(logs: list[Path]) -> Iterator[str]:
+def iterate_lines(logs: tuple[Path, ...]) -> Iterator[str]:
     """Return the lines of all files."""
     for path in logs:
         try:
--- a/geraniumwell/commands/batch/answers.py
+++ b/geraniumwell/commands/batch/answers.py
@@ -1,7 +1,7 @@
 """Answers of workers to orders, applied to the state of tasks."""
 
 from geraniumwell.commands.batch.ends import note_broken
-from geraniumwell.commands.batch.health import note_refusal, note_start
+from geraniumwell.commands.batch.health import note_refusal, note_silence, note_start
 from geraniumwell.commands.batch.lifecycle import (
     find_task,
     release_task,
@@ -62,6 +62,7 @@
     if task is None or worker is None:
         return []
     note_refusal(worker, now)
+    note_silence(worker, now)
     note_broken(cluster, task, now)
     return request_stop(cluster, task, now)
 
--- a/geraniumwell/commands/batch/health.py
+++ b/geraniumwell/commands/batch/health.py
@@ -1,5 +1,7 @@
 """Tells bad workers and bad jobs apart by how runs end."""
 
+from collections.abc import Iterable
+
 from geraniumwell.model.batch.job import Task
 from geraniumwell.model.batch.worker import Worker
 
@@ -51,3 +53,24 @@
 def note_start(worker: Worker) -> None:
     """Clear the refusals of a worker that has taken a start."""
     worker.refusals = 0
+
+
+def note_silence(worker: Worker, now: float) -> None:
+    """Note that a call to a worker got no answer."""
+    worker.is_silent = True
+    worker.silent_at = now
+
+
+def find_silent_data_centres(workers: Iterable[Worker]) -> frozenset[str]:
+    """Return the data centres from which nothing was heard since a call was lost.
+
+    A partition cuts off all workers of a data centre at once. A gang that is placed on
+    both sides of it is broken, and its places there are lost until they lapse.
+    """
+    heard: dict[str, float] = {}
+    lost: dict[str, float] = {}
+    for worker in workers:
+        name = worker.entry.data_centre
+        heard[name] = max(heard.get(name, 0.0), worker.clock_at)
+        lost[name] = max(lost.get(name, 0.0), worker.silent_at)
+    return frozenset(name for name in heard if lost[name] > heard[name])
--- a/geraniumwell/commands/batch/room.py
+++ b/geraniumwell/commands/batch/room.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from geraniumwell.commands.batch.health import find_silent_data_centres
 from geraniumwell.model.batch.cluster import Cluster, Unit
 from geraniumwell.model.batch.job import Phase, StepSpec, TaskId
 from geraniumwell.model.batch.resources import Resources
@@ -58,10 +59,11 @@
 
 def make_rooms(cluster: Cluster, now: float) -> list[Room]:
     """Return the room of each worker that may be given new tasks."""
+    silent = find_silent_data_centres(cluster.workers.values())
     return [
         make_room(cluster, worker)
         for worker in cluster.workers.values()
-        if can_receive(worker, now)
+        if can_receive(worker, now) and worker.entry.data_centre not in silent
     ]
 
 
--- a/geraniumwell/model/batch/worker.py
+++ b/geraniumwell/model/batch/worker.py
@@ -116,6 +116,8 @@
         Whether it has answered under the present epoch.
     seen, saved, acknowledged : int
         Number of the last end that was applied, stored and acknowledged.
+    silent_at : float
+        Time at which a call last got no answer; 0 if none was lost.
     failures, refusals : int
         Runs that failed there, and starts that it refused or lost, in a row.
     """
@@ -130,6 +132,7 @@
     has_foreign: bool = False
     is_polling: bool = False
     is_silent: bool = False
+    silent_at: float = 0.0
     poll_after: float = 0.0
     started_ms: int = 0
     seen: int = 0
--- a/tests/commands/batch/planning.feature
+++ b/tests/commands/batch/planning.feature
@@ -147,3 +147,17 @@
     Then nothing is started
     When the scheduler plans at second 5
     Then 1 task is started
+
+  Scenario: A data centre whose workers stopped answering gets no more tasks
+    Given workers in the racks "r1 r1 r2 r2"
+    And the worker "w1" is in the data centre "dc-2"
+    And the worker "w2" is in the data centre "dc-2"
+    And all workers were heard at second 1
+    And a call to the worker "w1" got no answer at second 2
+    And a job "j" of 4 tasks with 8 accelerators
+    When the scheduler plans at second 3
+    Then the job "j" has 2 tasks started with run 1
+    And the workers "w1 w2" have no tasks
+    When the worker "w2" lists nothing at second 4
+    And the scheduler plans at second 4
+    Then the worker "w2" has a task
--- a/tests/commands/batch/planning_steps.py
+++ b/tests/commands/batch/planning_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from geraniumwell.commands.batch.health import note_silence
 from geraniumwell.commands.batch.lifecycle import cancel_job
 from geraniumwell.model.batch.cluster import StartTask, StopTask
 from geraniumwell.model.batch.job import PLACED_PHASES
@@ -200,3 +201,36 @@
 def starts(context: Context) -> list[StartTask]:
     """Return the starts of the last round."""
     return [order for order in context.orders if isinstance(order, StartTask)]
+
+
+@given('the worker "{name}" is in the data centre "{data_centre}"')
+def step_data_centre(context: Context, name: str, data_centre: str) -> None:
+    worker = context.cluster.workers[name]
+    worker.entry = replace(worker.entry, data_centre=data_centre)
+
+
+@given("all workers were heard at second {now:g}")
+def step_all_heard(context: Context, now: float) -> None:
+    for name in context.cluster.workers:
+        report(context.cluster, name, now)
+
+
+@given('a call to the worker "{name}" got no answer at second {now:g}')
+def step_no_answer(context: Context, name: str, now: float) -> None:
+    note_silence(context.cluster.workers[name], now)
+
+
+@when('the worker "{name}" lists nothing at second {now:g}')
+def step_heard(context: Context, name: str, now: float) -> None:
+    report(context.cluster, name, now)
+
+
+@then('the workers "{names}" have no tasks')
+def step_without_tasks(context: Context, names: str) -> None:
+    workers = [context.cluster.workers[name] for name in names.split()]
+    assert not any(worker.tasks for worker in workers), workers
+
+
+@then('the worker "{name}" has a task')
+def step_with_task(context: Context, name: str) -> None:
+    assert context.cluster.workers[name].tasks
