Split the scheduler's intake, start answers and reports of ends from it

Ruled out: base classes, because the parts share no behaviour.

Change: RowIntake decodes rows and counts what can't be read; answers to starts and final states have modules of their own.

--- a/geraniumwell/actors/batch/elector.py
+++ b/geraniumwell/actors/batch/elector.py
@@ -4,7 +4,8 @@
 
 from pykka import ActorRef, ThreadingActor
 
-from geraniumwell.actors.batch.scheduler import Scheduler, SchedulerParts
+from geraniumwell.actors.batch.parts import SchedulerParts
+from geraniumwell.actors.batch.scheduler import Scheduler
 from geraniumwell.actors.batch.telling import tell
 from geraniumwell.clients.table import (
     Committed,
--- /dev/null
+++ b/geraniumwell/actors/batch/end_reporter.py
@@ -0,0 +1,39 @@
+"""Tells of the final state of each job once."""
+
+from collections.abc import Iterable
+
+from geraniumwell.helpers.batch_metrics import JOB_SECONDS, JOBS
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.model.batch.cluster import Cluster
+from geraniumwell.model.batch.job import ENDED_STATES
+
+
+class EndReporter:
+    """Logs and counts final states when callers can see them."""
+
+    __slots__ = ("_told",)
+
+    def __init__(self) -> None:
+        self._told: set[str] = set()
+
+    def report(self, cluster: Cluster, job_ids: Iterable[str]) -> None:
+        """Tell of those jobs whose final state has just been stored."""
+        for job_id in job_ids:
+            job = cluster.jobs.get(job_id)
+            if job is None or job.state not in ENDED_STATES or job_id in self._told:
+                continue
+            self._told.add(job_id)
+            JOBS.labels(job.state.value).inc()
+            seconds = job.ended_at - job.spec.accepted_at
+            JOB_SECONDS.labels(str(job.spec.priority)).observe(max(0.0, seconds))
+            EVENTS.write(
+                "job_ended",
+                job=job_id,
+                queue=job.spec.queue,
+                state=job.state.value,
+                seconds=round(seconds, 3),
+            )
+
+    def forget(self, job_ids: Iterable[str]) -> None:
+        """Drop jobs that are no longer kept."""
+        self._told.difference_update(job_ids)
--- /dev/null
+++ b/geraniumwell/actors/batch/intake.py
@@ -0,0 +1,118 @@
+"""Rows of the store, applied to the state of the scheduler."""
+
+from collections.abc import Callable
+
+from geraniumwell.actors.batch.journal import CANCEL_SUFFIX
+from geraniumwell.clients.table import StoredRow
+from geraniumwell.codec.batch import decode_progress, decode_spec
+from geraniumwell.codec.json import CodecError
+from geraniumwell.commands.batch.lifecycle import add_job, cancel_job
+from geraniumwell.commands.batch.registry import (
+    apply_absence,
+    apply_all_entries,
+    apply_entry,
+    restore_job,
+)
+from geraniumwell.helpers.batch_metrics import UNREADABLE
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.model.batch.cluster import Cluster, Order
+from geraniumwell.model.batch.worker import WorkerEntry
+
+
+class RowIntake:
+    """Decodes rows and leaves out, with a line and a count, what can't be read.
+
+    Parameters
+    ----------
+    decode_entry : callable
+        Returns the worker that a row of the registry names; raises CodecError.
+    """
+
+    __slots__ = ("_cluster", "_decode_entry")
+
+    def __init__(
+        self, cluster: Cluster, decode_entry: Callable[[str, bytes], WorkerEntry]
+    ) -> None:
+        self._cluster = cluster
+        self._decode_entry = decode_entry
+
+    def replace_registry(self, rows: tuple[StoredRow, ...], now: float) -> list[str]:
+        """Take a whole reading of the registry; return the forgotten workers."""
+        entries = [self._read_entry(row) for row in rows]
+        known = [entry for entry in entries if entry is not None]
+        return apply_all_entries(self._cluster, known, now)
+
+    def change_registry(self, rows: tuple[StoredRow, ...], now: float) -> list[str]:
+        """Take changed rows of the registry; return the forgotten workers."""
+        forgotten: list[str] = []
+        for row in rows:
+            entry = None if row.is_deleted else self._read_entry(row)
+            if entry is None:
+                EVENTS.write("worker_entry", worker=row.key, state="gone")
+                if apply_absence(self._cluster, row.key):
+                    forgotten.append(row.key)
+            elif apply_entry(self._cluster, entry, now):
+                state = "draining" if entry.is_draining else "ready"
+                EVENTS.write("worker_entry", worker=row.key, state=state)
+        return forgotten
+
+    def restore_jobs(
+        self,
+        rows: tuple[StoredRow, ...],
+        progress: tuple[StoredRow, ...],
+        now: float,
+    ) -> None:
+        """Take the jobs up that an earlier scheduler has begun."""
+        stored = {row.key: row.value for row in progress}
+        for row in rows:
+            value = stored.get(row.key)
+            if value is None:
+                continue
+            try:
+                job = decode_progress(value, decode_spec(row.value))
+            except CodecError as exc:
+                self._leave_out("job", row.key, exc)
+                continue
+            restore_job(self._cluster, job, now)
+
+    def apply_jobs(
+        self, rows: tuple[StoredRow, ...], now: float, wall_now: float
+    ) -> list[Order]:
+        """Take new jobs and cancellations up; return the orders that follow."""
+        orders: list[Order] = []
+        for row in rows:
+            if row.is_deleted:
+                continue
+            if row.key.endswith(CANCEL_SUFFIX):
+                job_id = row.key.removesuffix(CANCEL_SUFFIX)
+                EVENTS.write("job_cancelled", job=job_id)
+                orders += cancel_job(self._cluster, job_id, now, wall_now)
+            elif row.key not in self._cluster.jobs:
+                self._add_job(row, wall_now)
+        return orders
+
+    def _add_job(self, row: StoredRow, wall_now: float) -> None:
+        try:
+            spec = decode_spec(row.value)
+        except CodecError as exc:
+            self._leave_out("job", row.key, exc)
+            return
+        add_job(self._cluster, spec, wall_now)
+        EVENTS.write(
+            "job_taken_up",
+            job=spec.id,
+            queue=spec.queue,
+            tasks=sum(step.count for step in spec.steps),
+            age=round(wall_now - spec.accepted_at, 3),
+        )
+
+    def _read_entry(self, row: StoredRow) -> WorkerEntry | None:
+        try:
+            return self._decode_entry(row.key, row.value)
+        except CodecError as exc:
+            self._leave_out("worker", row.key, exc)
+            return None
+
+    def _leave_out(self, kind: str, key: str, exc: CodecError) -> None:
+        UNREADABLE.labels(kind).inc()
+        EVENTS.write("row_unreadable", kind=kind, key=key, detail=str(exc))
--- /dev/null
+++ b/geraniumwell/actors/batch/parts.py
@@ -0,0 +1,30 @@
+"""What a scheduler needs of its surroundings."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from geraniumwell.actors.batch.fleet import MakeClient
+from geraniumwell.actors.ticker import Ticker
+from geraniumwell.clients.table import TableClient
+from geraniumwell.model.batch.cluster import BatchPolicy
+from geraniumwell.model.batch.worker import WorkerEntry
+
+
+@dataclass(slots=True, frozen=True)
+class SchedulerParts:
+    """Policy, timer, and how clients are made and entries decoded.
+
+    Parameters
+    ----------
+    registry : str
+        Table of the store in which workers register themselves.
+    decode_entry : callable
+        Returns the worker that a row of the registry names; raises CodecError.
+    """
+
+    policy: BatchPolicy
+    ticker: Ticker
+    make_store: Callable[[], TableClient]
+    make_worker: MakeClient
+    registry: str
+    decode_entry: Callable[[str, bytes], WorkerEntry]
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -1,20 +1,18 @@
 """Actor that schedules all jobs of an installation while its claim is valid."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
 from math import inf
 from typing import Any
 
 from pykka import ActorRef, ThreadingActor
 
+from geraniumwell.actors.batch.end_reporter import EndReporter
 from geraniumwell.actors.batch.fleet import (
     FOREIGN_RETRY_SECONDS,
     SILENT_RETRY_SECONDS,
     Fleet,
-    MakeClient,
 )
+from geraniumwell.actors.batch.intake import RowIntake
 from geraniumwell.actors.batch.journal import (
-    CANCEL_SUFFIX,
     Journal,
     begin,
     confirm,
@@ -22,42 +20,33 @@
     find_version,
     open_journal,
 )
+from geraniumwell.actors.batch.parts import SchedulerParts
+from geraniumwell.actors.batch.start_messages import (
+    apply_start_message,
+    is_fenced,
+)
 from geraniumwell.actors.batch.store_link import StoreLink
 from geraniumwell.actors.batch.table_feed import TableFeed
 from geraniumwell.actors.batch.telling import tell
-from geraniumwell.actors.ticker import Ticker
-from geraniumwell.clients.table import StoredRow, TableClient
 from geraniumwell.clients.task_worker import FencedError, OtherLifeError
-from geraniumwell.codec.batch import decode_progress, decode_spec
-from geraniumwell.codec.json import CodecError
 from geraniumwell.commands.batch.answers import (
-    apply_lost_start,
-    apply_start_answer,
     apply_stop_answer,
     is_start_wanted,
 )
 from geraniumwell.commands.batch.ends import apply_report
 from geraniumwell.commands.batch.health import note_silence
 from geraniumwell.commands.batch.lifecycle import (
-    add_job,
-    cancel_job,
     find_task,
     forget_old_jobs,
 )
 from geraniumwell.commands.batch.planning import plan
 from geraniumwell.commands.batch.registry import (
-    apply_absence,
-    apply_all_entries,
-    apply_entry,
     forget_gone_workers,
-    restore_job,
 )
 from geraniumwell.const import TABLE_JOBS, TABLE_PROGRESS
-from geraniumwell.helpers.batch_lines import group_ends, group_orders, name_step
+from geraniumwell.helpers.batch_lines import group_ends, group_orders
 from geraniumwell.helpers.batch_metrics import (
     ENDS,
-    JOB_SECONDS,
-    JOBS,
     ORDERS,
     PLAN_SECONDS,
     RUNNING,
@@ -91,14 +80,11 @@
 from geraniumwell.messages.serving import Tick
 from geraniumwell.model.batch.catalog import Catalog
 from geraniumwell.model.batch.cluster import (
-    BatchPolicy,
     Cluster,
     Order,
     StartTask,
     StopTask,
 )
-from geraniumwell.model.batch.job import ENDED_STATES
-from geraniumwell.model.batch.worker import StartResult, WorkerEntry
 from geraniumwell.queries.batch.status import count_pending
 from geraniumwell.util.clock import steady_seconds, steady_wall_seconds
 
@@ -118,26 +104,6 @@
 TICK_SLACK_SECONDS = 0.002
 
 
-@dataclass(slots=True, frozen=True)
-class SchedulerParts:
-    """What a scheduler needs of its surroundings.
-
-    Parameters
-    ----------
-    registry : str
-        Table of the store in which workers register themselves.
-    decode_entry : callable
-        Returns the worker that a row of the registry names; raises CodecError.
-    """
-
-    policy: BatchPolicy
-    ticker: Ticker
-    make_store: Callable[[], TableClient]
-    make_worker: MakeClient
-    registry: str
-    decode_entry: Callable[[str, bytes], WorkerEntry]
-
-
 class Scheduler(ThreadingActor):
     """Owns the state of all jobs and workers under one epoch."""
 
@@ -151,12 +117,13 @@
         self._owner = owner
         self._cluster = Cluster(claim.row.epoch, parts.policy, catalog)
         self._journal: Journal = open_journal(claim)
+        self._intake = RowIntake(self._cluster, parts.decode_entry)
         self._is_loaded = False
         self._plan_due = inf
         self._planned_at = 0.0
         self._is_renewal_due = False
         self._feeds: list[ActorRef] = []
-        self._told: set[str] = set()
+        self._ends = EndReporter()
         self._fleet = Fleet(claim.row.epoch, self.actor_ref, parts.make_worker)
 
     def on_start(self) -> None:
@@ -224,15 +191,12 @@
             EVENTS.write("load_failed", code=message.code, detail=message.detail)
             self._tick_after(RETRY_SECONDS, "load")
             return
-        now = steady_seconds()
+        now, wall_now = steady_seconds(), steady_wall_seconds()
         ranges = message.ranges
-        apply_all_entries(
-            self._cluster, self._decode_entries(ranges[self._parts.registry].rows), now
-        )
-        progress = {row.key: row for row in ranges[TABLE_PROGRESS].rows}
-        for row in ranges[TABLE_JOBS].rows:
-            self._restore(row, progress, now)
-        self._apply_job_rows(ranges[TABLE_JOBS].rows)
+        jobs = ranges[TABLE_JOBS].rows
+        self._intake.replace_registry(ranges[self._parts.registry].rows, now)
+        self._intake.restore_jobs(jobs, ranges[TABLE_PROGRESS].rows, now)
+        self._carry_out(self._intake.apply_jobs(jobs, now, wall_now))
         self._is_loaded = True
         self._request_plan()
         feeds = (
@@ -257,83 +221,22 @@
             workers=len(self._cluster.workers),
         )
 
-    def _restore(
-        self, row: StoredRow, progress: dict[str, StoredRow], now: float
-    ) -> None:
-        stored = progress.get(row.key)
-        if stored is None:
-            return
-        try:
-            job = decode_progress(stored.value, decode_spec(row.value))
-        except CodecError as exc:
-            EVENTS.write("row_unreadable", key=row.key, detail=str(exc))
-            return
-        restore_job(self._cluster, job, now)
-
     def _take_rows(self, message: TableChanged | TableReset | TableSilent) -> None:
-        now = steady_seconds()
+        now, wall_now = steady_seconds(), steady_wall_seconds()
         match message:
             case TableSilent(table, code):
                 EVENTS.write("table_silent", table=table, code=code)
             case TableReset(table, rows) if table == self._parts.registry:
-                entries = self._decode_entries(rows)
-                for worker_id in apply_all_entries(self._cluster, entries, now):
-                    self._fleet.drop(worker_id)
+                self._drop_links(self._intake.replace_registry(rows, now))
             case TableChanged(table, rows) if table == self._parts.registry:
-                self._apply_registry_rows(rows, now)
+                self._drop_links(self._intake.change_registry(rows, now))
             case TableReset(_, rows) | TableChanged(_, rows):
-                self._apply_job_rows(rows)
+                self._carry_out(self._intake.apply_jobs(rows, now, wall_now))
         self._request_plan()
 
-    def _decode_entries(self, rows: tuple[StoredRow, ...]) -> list[WorkerEntry]:
-        entries = [self._decode_entry(row) for row in rows]
-        return [entry for entry in entries if entry is not None]
-
-    def _decode_entry(self, row: StoredRow) -> WorkerEntry | None:
-        try:
-            return self._parts.decode_entry(row.key, row.value)
-        except CodecError as exc:
-            EVENTS.write("worker_entry_unreadable", worker=row.key, detail=str(exc))
-            return None
-
-    def _apply_registry_rows(self, rows: tuple[StoredRow, ...], now: float) -> None:
-        for row in rows:
-            entry = None if row.is_deleted else self._decode_entry(row)
-            if entry is not None:
-                is_new = apply_entry(self._cluster, entry, now)
-                if is_new:
-                    state = "draining" if entry.is_draining else "ready"
-                    EVENTS.write("worker_entry", worker=row.key, state=state)
-                continue
-            EVENTS.write("worker_entry", worker=row.key, state="gone")
-            if apply_absence(self._cluster, row.key):
-                self._fleet.drop(row.key)
-
-    def _apply_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        now, wall_now = steady_seconds(), steady_wall_seconds()
-        for row in rows:
-            if row.is_deleted:
-                continue
-            if row.key.endswith(CANCEL_SUFFIX):
-                job_id = row.key.removesuffix(CANCEL_SUFFIX)
-                EVENTS.write("job_cancelled", job=job_id)
-                self._carry_out(cancel_job(self._cluster, job_id, now, wall_now))
-                continue
-            if row.key in self._cluster.jobs:
-                continue
-            try:
-                spec = decode_spec(row.value)
-            except CodecError as exc:
-                EVENTS.write("row_unreadable", key=row.key, detail=str(exc))
-                continue
-            add_job(self._cluster, spec, wall_now)
-            EVENTS.write(
-                "job_taken_up",
-                job=spec.id,
-                queue=spec.queue,
-                tasks=sum(step.count for step in spec.steps),
-                age=round(wall_now - spec.accepted_at, 3),
-            )
+    def _drop_links(self, worker_ids: list[str]) -> None:
+        for worker_id in worker_ids:
+            self._fleet.drop(worker_id)
 
     def _take_commit(self, message: RowsCommitted | CommitFailed) -> None:
         journal, now = self._journal, steady_seconds()
@@ -352,29 +255,11 @@
         if not flight.row.holder:
             self._end("released")
             return
-        for job_id in flight.jobs:
-            self._log_job_end(job_id)
+        self._ends.report(self._cluster, flight.jobs)
         sent = [order for order in flight.orders if self._send_start(order, now)]
         for fields in group_orders(sent):
             EVENTS.write("start", **fields)
 
-    def _log_job_end(self, job_id: str) -> None:
-        """Tell of a final state once callers can see it."""
-        job = self._cluster.jobs.get(job_id)
-        if job is None or job.state not in ENDED_STATES or job_id in self._told:
-            return
-        self._told.add(job_id)
-        JOBS.labels(job.state.value).inc()
-        seconds = job.ended_at - job.spec.accepted_at
-        JOB_SECONDS.labels(str(job.spec.priority)).observe(max(0.0, seconds))
-        EVENTS.write(
-            "job_ended",
-            job=job_id,
-            queue=job.spec.queue,
-            state=job.state.value,
-            seconds=round(seconds, 3),
-        )
-
     def _end(self, reason: str) -> None:
         self._journal.valid_until = 0.0
         EVENTS.write("scheduler_ended", epoch=self._cluster.epoch, reason=reason)
@@ -416,34 +301,11 @@
         return True
 
     def _take_start(self, message: StartAnswered | StartNotSent | StartLost) -> None:
-        now = steady_seconds()
-        match message:
-            case StartAnswered(order, answer):
-                ORDERS.labels("start", answer.result.value).inc()
-                apply_start_answer(self._cluster, order, answer.result, now)
-                if answer.result is StartResult.STALE_EPOCH:
-                    self._end("a worker has seen a higher epoch")
-                if answer.result is not StartResult.STARTED:
-                    self._log_start(order, answer.result.value)
-            case StartNotSent(order, code):
-                ORDERS.labels("start", code).inc()
-                self._log_start(order, code)
-                apply_start_answer(self._cluster, order, StartResult.REFUSED, now)
-                self._request_plan()
-            case StartLost(order, code):
-                ORDERS.labels("start", code).inc()
-                self._log_start(order, code)
-                self._carry_out(apply_lost_start(self._cluster, order, now))
-
-    def _log_start(self, order: StartTask, code: str) -> None:
-        EVENTS.write(
-            "start_failed",
-            job=order.id.job,
-            step=name_step(order.id),
-            run=order.run,
-            on=order.worker,
-            code=code,
-        )
+        orders = apply_start_message(self._cluster, message, steady_seconds())
+        if is_fenced(message):
+            self._end("a worker has seen a higher epoch")
+        self._carry_out(orders)
+        self._request_plan()
 
     def _take_look(self, message: WorkerSeen | WorkerNotSeen) -> None:
         worker = self._cluster.workers.get(message.worker)
@@ -515,11 +377,10 @@
     def _plan(self, now: float, wall_now: float) -> None:
         with PLAN_SECONDS.time():
             self._carry_out(plan(self._cluster, now, wall_now))
-        for worker_id in forget_gone_workers(self._cluster):
-            self._fleet.drop(worker_id)
+        self._drop_links(forget_gone_workers(self._cluster))
         old = forget_old_jobs(self._cluster, wall_now)
         self._journal.removals += old
-        self._told.difference_update(old)
+        self._ends.forget(old)
         WAITING.set(sum(count_pending(self._cluster).values()))
         RUNNING.set(sum(len(w.tasks) for w in self._cluster.workers.values()))
 
--- /dev/null
+++ b/geraniumwell/actors/batch/start_messages.py
@@ -0,0 +1,53 @@
+"""Answers to starts: counted, logged and applied to the state of tasks."""
+
+from geraniumwell.commands.batch.answers import apply_lost_start, apply_start_answer
+from geraniumwell.helpers.batch_lines import name_step
+from geraniumwell.helpers.batch_metrics import ORDERS
+from geraniumwell.helpers.events import EVENTS
+from geraniumwell.messages.batch import StartAnswered, StartLost, StartNotSent
+from geraniumwell.model.batch.cluster import Cluster, Order, StartTask
+from geraniumwell.model.batch.worker import StartResult
+
+StartMessage = StartAnswered | StartNotSent | StartLost
+
+
+def apply_start_message(
+    cluster: Cluster, message: StartMessage, now: float
+) -> list[Order]:
+    """Apply what became of a start; return the orders that follow."""
+    match message:
+        case StartAnswered(order, answer):
+            ORDERS.labels("start", answer.result.value).inc()
+            apply_start_answer(cluster, order, answer.result, now)
+            if answer.result is not StartResult.STARTED:
+                log_failure(order, answer.result.value)
+            return []
+        case StartNotSent(order, code):
+            ORDERS.labels("start", code).inc()
+            log_failure(order, code)
+            apply_start_answer(cluster, order, StartResult.REFUSED, now)
+            return []
+        case StartLost(order, code):
+            ORDERS.labels("start", code).inc()
+            log_failure(order, code)
+            return apply_lost_start(cluster, order, now)
+
+
+def is_fenced(message: StartMessage) -> bool:
+    """Tell whether a worker refused a start because of a higher epoch."""
+    match message:
+        case StartAnswered(_, answer):
+            return answer.result is StartResult.STALE_EPOCH
+    return False
+
+
+def log_failure(order: StartTask, code: str) -> None:
+    """Write the line of a start that did not start anything."""
+    EVENTS.write(
+        "start_failed",
+        job=order.id.job,
+        step=name_step(order.id),
+        run=order.run,
+        on=order.worker,
+        code=code,
+    )
--- a/geraniumwell/actors/batch/store_relay.py
+++ b/geraniumwell/actors/batch/store_relay.py
@@ -81,6 +81,7 @@
         self, kind: Any, call: Callable[[TableClient, Any], RelayedAnswer]
     ) -> Callable[[bytes, ServicerContext], bytes]:
         def handle(data: bytes, _: ServicerContext) -> bytes:
+            """Answer one call; errors of the store are answers too."""
             try:
                 answer = call(self._store(), decode_relayed(data, kind))
             except StoreError as exc:
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -45,3 +45,8 @@
     ("priority",),
     buckets=(0.5, 1, 2, 4, 8, 16, 32, 64, 128, 512),
 )
+UNREADABLE = Counter(
+    "geraniumwell_batch_rows_unreadable",
+    "Rows of other writers that were left out, by what they should hold.",
+    ("kind",),
+)
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -11,8 +11,8 @@
 from geraniumwell.actors.batch.catalog_keeper import CatalogKeeper
 from geraniumwell.actors.batch.elector import Elector
 from geraniumwell.actors.batch.job_desk import JobDesk
+from geraniumwell.actors.batch.parts import SchedulerParts
 from geraniumwell.actors.batch.peer_keeper import PeerKeeper
-from geraniumwell.actors.batch.scheduler import SchedulerParts
 from geraniumwell.actors.batch.store_relay import StoreRelay
 from geraniumwell.actors.batch.table_feed import TableFeed
 from geraniumwell.actors.draining_server import DrainingServer
