--- a/geraniumwell/commands/batch/answers.py
+++ b/geraniumwell/commands/batch/answers.py
@@ -1,7 +1,12 @@
 """Answers of workers to orders, applied to the state of tasks."""
 
 from geraniumwell.commands.batch.ends import note_broken
-from geraniumwell.commands.batch.health import note_refusal, note_silence, note_start
+from geraniumwell.commands.batch.health import (
+    note_answer,
+    note_refusal,
+    note_silence,
+    note_start,
+)
 from geraniumwell.commands.batch.lifecycle import (
     find_task,
     release_task,
@@ -40,6 +45,7 @@
     match result:
         case StartResult.STARTED:
             note_start(worker)
+            note_answer(worker, now)
             task.settled_at = now
             if task.phase is Phase.STARTING:
                 task.phase = Phase.RUNNING
--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -1,6 +1,6 @@
 """Ends of runs and reports of workers, applied to the state of jobs."""
 
-from geraniumwell.commands.batch.health import note_failure, note_success
+from geraniumwell.commands.batch.health import note_answer, note_failure, note_success
 from geraniumwell.commands.batch.lifecycle import (
     end_job,
     find_step,
@@ -46,6 +46,7 @@
     note_life(cluster, worker, report.started_ms)
     worker.clock_ms, worker.clock_at = report.clock_ms, now
     worker.is_fenced, worker.is_silent = True, False
+    note_answer(worker, now)
     orders: list[Order] = []
     for end in report.ended:
         orders += apply_end(cluster, worker, end, now, wall_now)
--- a/geraniumwell/commands/batch/health.py
+++ b/geraniumwell/commands/batch/health.py
@@ -1,6 +1,7 @@
 """Tells bad workers and bad jobs apart by how runs end."""
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Collection
 
 from geraniumwell.model.batch.job import Task
 from geraniumwell.model.batch.worker import Worker
@@ -11,6 +12,8 @@
 AVOID_LIMIT_SECONDS = 30.0
 # Time before a worker that refused or lost an order is tried again; doubles each time.
 REFUSED_SECONDS = 1.5
+# One silent worker may be down or late; two at once and no other heard is a cut.
+CUT_OFF_WORKERS = 2
 
 
 def note_success(worker: Worker) -> None:
@@ -55,22 +58,31 @@
     worker.refusals = 0
 
 
+def note_answer(worker: Worker, now: float) -> None:
+    """Note that a worker has answered a call."""
+    worker.heard_at = now
+
+
 def note_silence(worker: Worker, now: float) -> None:
     """Note that a call to a worker got no answer."""
     worker.is_silent = True
     worker.silent_at = now
 
 
-def find_silent_data_centres(workers: Iterable[Worker]) -> frozenset[str]:
-    """Return the data centres from which nothing was heard since a call was lost.
+def find_silent_data_centres(workers: Collection[Worker]) -> frozenset[str]:
+    """Return the data centres that seem to be cut off.
 
-    A partition cuts off all workers of a data centre at once. A gang that is placed on
-    both sides of it is broken, and its places there are lost until they lapse.
+    A partition silences several workers at once, and nothing is heard from the others.
+    A gang that is placed on both sides of it is broken, and its places there are lost
+    until they lapse.
     """
     heard: dict[str, float] = {}
-    lost: dict[str, float] = {}
     for worker in workers:
         name = worker.entry.data_centre
-        heard[name] = max(heard.get(name, 0.0), worker.clock_at)
-        lost[name] = max(lost.get(name, 0.0), worker.silent_at)
-    return frozenset(name for name in heard if lost[name] > heard[name])
+        heard[name] = max(heard.get(name, 0.0), worker.heard_at)
+    silent = Counter(
+        worker.entry.data_centre
+        for worker in workers
+        if worker.silent_at > heard[worker.entry.data_centre]
+    )
+    return frozenset(name for name, count in silent.items() if count >= CUT_OFF_WORKERS)
--- a/geraniumwell/commands/batch/leases.py
+++ b/geraniumwell/commands/batch/leases.py
@@ -20,18 +20,16 @@
     """Return a deadline on the worker's clock and note until when it may last.
 
     The bound counts from the moment of sending, because a call may take effect
-    although no answer comes.
+    although no answer comes. It is that of the longest lease that the worker grants,
+    because after a new start of its clock every deadline by the old one is too late.
     """
     lease = policy.lease_limit - LEASE_MARGIN_SECONDS
-    deadline = estimate_clock_ms(worker, now) + int(lease * 1000)
-    slowest = worker.clock_ms + (now - worker.clock_at) * 1000 * SLOWEST_CLOCK_RATE
-    longest = (deadline - slowest) / 1000 / SLOWEST_CLOCK_RATE + LAPSE_SLACK_SECONDS
-    worker.lease_until = max(worker.lease_until, now + longest)
-    return deadline
+    worker.lease_until = max(worker.lease_until, bound_unknown_lease(policy, now))
+    return estimate_clock_ms(worker, now) + int(lease * 1000)
 
 
 def bound_unknown_lease(policy: BatchPolicy, now: float) -> float:
-    """Return when a lease that an earlier scheduler granted has surely lapsed."""
+    """Return when a lease that was granted until now has surely lapsed."""
     return now + policy.lease_limit / SLOWEST_CLOCK_RATE + LAPSE_SLACK_SECONDS
 
 
--- a/geraniumwell/model/batch/worker.py
+++ b/geraniumwell/model/batch/worker.py
@@ -116,8 +116,8 @@
         Whether it has answered under the present epoch.
     seen, saved, acknowledged : int
         Number of the last end that was applied, stored and acknowledged.
-    silent_at : float
-        Time at which a call last got no answer; 0 if none was lost.
+    heard_at, silent_at : float
+        Time at which a call was last answered, and at which one last got no answer.
     failures, refusals : int
         Runs that failed there, and starts that it refused or lost, in a row.
     """
@@ -132,6 +132,7 @@
     has_foreign: bool = False
     is_polling: bool = False
     is_silent: bool = False
+    heard_at: float = 0.0
     silent_at: float = 0.0
     poll_after: float = 0.0
     started_ms: int = 0
--- a/tests/commands/batch/planning.feature
+++ b/tests/commands/batch/planning.feature
@@ -154,6 +154,7 @@
     And the worker "w2" is in the data centre "dc-2"
     And all workers were heard at second 1
     And a call to the worker "w1" got no answer at second 2
+    And a call to the worker "w2" got no answer at second 2
     And a job "j" of 4 tasks with 8 accelerators
     When the scheduler plans at second 3
     Then the job "j" has 2 tasks started with run 1
@@ -161,3 +162,11 @@
     When the worker "w2" lists nothing at second 4
     And the scheduler plans at second 4
     Then the worker "w2" has a task
+
+  Scenario: One silent worker does not block the others of its data centre
+    Given workers in the racks "r1 r1"
+    And all workers were heard at second 1
+    And a call to the worker "w1" got no answer at second 2
+    And a job "j" of 2 tasks with 8 accelerators
+    When the scheduler plans at second 3
+    Then the worker "w2" has a task
