Remove settings, fields and types of the batch service that nothing uses

Cause: the adapter decoded what no decision reads (advice, guards, images, use of a task), and the settings held bounds of the platform that no code checks.

Ruled out: keeping them for later; docs/platform.md lists what is not built.

--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -90,7 +90,6 @@
         task.checkpoint = item.checkpoint
     if item.percent != task.progress or not task.progressed_at:
         task.progress, task.progressed_at = item.percent, now
-    task.usage = item.usage
     if task.settled_at is None:
         task.settled_at = now
     if task.phase is Phase.STARTING:
--- a/geraniumwell/model/batch/catalog.py
+++ b/geraniumwell/model/batch/catalog.py
@@ -1,17 +1,8 @@
-"""Configuration of the batch service: queues, organisations and services."""
+"""Configuration of the batch service: queues and organisations."""
 
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True, frozen=True)
-class Advisory:
-    """Which workers may run the steps of a queue is known to an outside service."""
-
-    decide_seconds: float
-    worker_seconds: float
-    valid_seconds: float
-
-
 @dataclass(slots=True, frozen=True)
 class Queue:
     """A queue of jobs, chosen by host and path prefix."""
@@ -22,11 +13,9 @@
     service: str
     priority: int
     max_attempts: int
-    timeout_seconds: float
     target_seconds: float
     stretch: float
     is_public: bool = False
-    advisory: Advisory | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,15 +27,6 @@
     guaranteed_accelerators: int = 0
 
 
-@dataclass(slots=True, frozen=True)
-class Service:
-    """A pool of workers; a guarded worker refuses what does not fit."""
-
-    name: str
-    is_guarded: bool = False
-    is_standby: bool = False
-
-
 @dataclass(slots=True, frozen=True)
 class Catalog:
     """One version of the configuration."""
@@ -54,7 +34,6 @@
     version: int
     queues: tuple[Queue, ...]
     organisations: dict[str, Organisation]
-    services: dict[str, Service]
     body_limit_bytes: int
     organisation_by_key: dict[str, str] = field(default_factory=dict)
     queue_by_name: dict[str, Queue] = field(default_factory=dict)
@@ -64,7 +43,6 @@
     version: int,
     queues: tuple[Queue, ...],
     organisations: tuple[Organisation, ...],
-    services: tuple[Service, ...],
     body_limit_bytes: int,
 ) -> Catalog:
     """Return a catalog with its look-up tables filled in."""
@@ -72,7 +50,6 @@
         version,
         queues,
         {org.name: org for org in organisations},
-        {service.name: service for service in services},
         body_limit_bytes,
         {key: org.name for org in organisations for key in org.keys},
         {queue.name: queue for queue in queues},
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -15,22 +15,12 @@
     ----------
     lease_limit : float
         Longest lease that a worker grants.
-    far_factor : float
-        How much longer a task takes away from its rack.
-    stop_limit : float
-        Longest time that a stop of a task takes.
-    gang_limit : float
-        Time that a member of a gang waits for the others.
     result_seconds : float
         How long the state of an ended job is kept.
     """
 
     lease_limit: float = 10.0
-    far_factor: float = 3.0
-    stop_limit: float = 0.9
-    gang_limit: float = 3.0
     result_seconds: float = 120.0
-    reclaim_limit: float = 3.4
 
 
 @dataclass(slots=True)
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -30,8 +30,6 @@
         Rack with the step's data; empty if there is none.
     max_per_worker : int
         Most tasks of the step on one worker; 0 if there is no limit.
-    max_missing : int
-        Most tasks of a long-running step that planned work may take away at once.
     """
 
     count: int
@@ -46,9 +44,7 @@
     label: str = ""
     rack: str = ""
     max_per_worker: int = 0
-    image: str = ""
     target_ms: int = 0
-    max_missing: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -144,7 +140,6 @@
     progress: int = 0
     progressed_at: float = 0.0
     stopped_at: float | None = None
-    usage: int = 0
     failed_on: tuple[str, ...] = ()
 
 
@@ -194,7 +189,6 @@
     finished: set[int] = field(default_factory=set)
     opened: int = 0
     has_begun: bool = False
-    is_cancelled: bool = False
     ended_at: float = 0.0
 
 
--- a/geraniumwell/model/batch/worker.py
+++ b/geraniumwell/model/batch/worker.py
@@ -58,7 +58,6 @@
     run: int
     checkpoint: str
     percent: int
-    usage: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -205,14 +205,7 @@
     health: StoreHealth,
 ) -> SchedulerParts:
     """Return what the scheduler needs of the platform."""
-    policy = BatchPolicy(
-        cfg.lease_limit_ms / 1000,
-        cfg.far_factor,
-        cfg.stop_limit_ms / 1000,
-        cfg.gang_limit_ms / 1000,
-        cfg.result_seconds,
-        cfg.reclaim_limit_ms / 1000,
-    )
+    policy = BatchPolicy(cfg.lease_limit_ms / 1000, cfg.result_seconds)
     return SchedulerParts(
         policy,
         ticker,
--- a/geraniumwell/platform/decode.py
+++ b/geraniumwell/platform/decode.py
@@ -4,11 +4,9 @@
 
 from geraniumwell.codec.json import CodecError
 from geraniumwell.model.batch.catalog import (
-    Advisory,
     Catalog,
     Organisation,
     Queue,
-    Service,
     make_catalog,
 )
 from geraniumwell.model.batch.job import JobSpec, StepSpec, TaskId
@@ -46,19 +44,11 @@
             Organisation(t.name, frozenset(t.api_keys), t.guaranteed.gpu)
             for t in wire.tenants
         ),
-        tuple(Service(s.name, s.enforces_capacity, s.standby) for s in wire.services),
         wire.limits.max_body_bytes,
     )
 
 
 def _make_queue(route: WireRoute) -> Queue:
-    advisory = None
-    if route.advice is not None:
-        advisory = Advisory(
-            route.advice.decide_ms / 1000,
-            route.advice.interval_ms / 1000,
-            route.advice.valid_ms / 1000,
-        )
     return Queue(
         route.name,
         route.host,
@@ -66,11 +56,9 @@
         route.service,
         route.priority,
         route.max_attempts,
-        route.timeout_ms / 1000,
         route.target_latency_ms / 1000,
         route.stretch,
         route.public,
-        advisory,
     )
 
 
@@ -134,9 +122,7 @@
         step.constraints,
         step.affinity,
         step.anti_affinity,
-        step.image,
         step.target_ms,
-        step.may_miss,
     )
 
 
@@ -207,10 +193,7 @@
 
 
 def _make_running(row: tuple[Any, ...]) -> RunningTask:
-    usage = int(row[4]) if len(row) > 4 else 0
-    return RunningTask(
-        parse_task(row[0]), int(row[1]), row[2] or "", int(row[3]), usage
-    )
+    return RunningTask(parse_task(row[0]), int(row[1]), row[2] or "", int(row[3]))
 
 
 def _make_ended(row: tuple[Any, ...]) -> EndedTask:
--- a/geraniumwell/platform/settings.py
+++ b/geraniumwell/platform/settings.py
@@ -19,28 +19,19 @@
         Addresses ``ip:port`` on which the daemon listens; the last for other daemons.
     store : str
         Address of the platform's table store.
-    memory_mb : int
-        Memory that the platform lets the process have.
     lease_limit_ms : int
         Longest lease that a worker grants.
     """
 
     vm: str
     data_centre: str
-    region: str
     callers: str
     readiness: str
     metrics: str
     relay: str
     store: str
-    memory_mb: int = 300
-    grace_seconds: float = 6.0
     lease_limit_ms: float = 10_000
-    stop_limit_ms: float = 900
-    gang_limit_ms: float = 3_000
-    reclaim_limit_ms: float = 3_400
     result_seconds: float = 120
-    far_factor: float = 3.0
     log_level: str = "INFO"
 
 
--- a/geraniumwell/platform/wire.py
+++ b/geraniumwell/platform/wire.py
@@ -22,15 +22,6 @@
     guaranteed: WireQuota = field(default_factory=WireQuota)
 
 
-class WireAdvice(Struct, rename="pascal"):
-    """Times of the advice service for a queue, in milliseconds."""
-
-    decide_ms: float = 0
-    # Time for each worker that is named in a call.
-    interval_ms: float = 0
-    valid_ms: float = 0
-
-
 class WireRoute(Struct, rename="pascal"):
     """A queue of jobs."""
 
@@ -38,22 +29,12 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: float = 0
     # Added to the stretched length of a job to give its objective.
     target_latency_ms: float = 0
     priority: int = 0
     max_attempts: int = 1
     stretch: float = 1.0
     public: bool = False
-    advice: WireAdvice | None = None
-
-
-class WireService(Struct, rename="pascal"):
-    """A pool of workers."""
-
-    name: str
-    enforces_capacity: bool = False
-    standby: bool = False
 
 
 class WireLimits(Struct, rename="pascal"):
@@ -67,7 +48,6 @@
 
     version: int
     routes: tuple[WireRoute, ...] = ()
-    services: tuple[WireService, ...] = ()
     limits: WireLimits = field(default_factory=WireLimits)
     tenants: tuple[WireTenant, ...] = ()
 
@@ -90,12 +70,9 @@
     # Most tasks of the step on one worker.
     anti_affinity: int = 0
     checkpointing: bool = False
-    speculative: bool = False
     long_running: bool = False
     fills: bool = False
-    image: str = ""
     target_ms: int = 0
-    may_miss: int = 0
 
 
 class WireJob(Struct, rename="pascal"):
--- a/tests/support/batch.py
+++ b/tests/support/batch.py
@@ -9,7 +9,6 @@
     Catalog,
     Organisation,
     Queue,
-    Service,
     make_catalog,
 )
 from geraniumwell.model.batch.cluster import BatchPolicy, Cluster, Order, StartTask
@@ -32,14 +31,14 @@
 def make_test_catalog(version: int = 1, guaranteed: int = 16) -> Catalog:
     """Return a configuration with three queues of rising priority number."""
     queues = tuple(
-        Queue(name, "host", f"/{name}/", "pool", priority, 3, 3.0, 1.0, 2.0)
+        Queue(name, "host", f"/{name}/", "pool", priority, 3, 1.0, 2.0)
         for name, priority in PRIORITIES.items()
     )
     organisations = (
         Organisation("desks", frozenset({"key-desks"}), guaranteed),
         Organisation("carvers", frozenset({"key-carvers"}), 0),
     )
-    return make_catalog(version, queues, organisations, (Service("pool"),), 1000)
+    return make_catalog(version, queues, organisations, 1000)
 
 
 def make_cluster(racks: str = "r1 r1 r2 r2") -> Cluster:
--- a/tests/support/batch_processes.py
+++ b/tests/support/batch_processes.py
@@ -80,7 +80,6 @@
         return {
             "vm": name,
             "data_centre": "dc-1",
-            "region": "test",
             "store": self.stores.get(name, self.store_address),
             **addresses,
         }
