Declare the slots of the callers' server classes

Cause: the shape check named two classes without slots since the draining server was split off.

Ruled out: leaving them, because all classes declare theirs.

Change: empty slots; the base classes of waitress keep their dict.

--- a/geraniumwell/actors/caller_server.py
+++ b/geraniumwell/actors/caller_server.py
@@ -163,12 +163,14 @@
 class CallerChannel(DrainingChannel):
     """Connection of one caller."""
 
+    __slots__ = ()
     error_task_class = CallerErrorTask
 
 
 class CallerWsgiServer(DrainingServer):
     """Server whose own refusals carry the headers of every answer."""
 
+    __slots__ = ()
     channel_class = CallerChannel
 
 
