Wake the main thread by a pipe when a signal comes

The main thread waited on an event, which a signal that the kernel gives to another thread does not interrupt.

Ruled out: the drain, which had not begun.

Change: the main thread reads a pipe that is also the wake-up descriptor of signals.

--- a/geraniumwell/cli/main.py
+++ b/geraniumwell/cli/main.py
@@ -4,7 +4,7 @@
 import sys
 from argparse import RawDescriptionHelpFormatter
 from pathlib import Path
-from signal import SIGHUP, SIGINT, SIGTERM, signal
+from signal import SIGHUP, SIGINT, SIGTERM, set_wakeup_fd, signal
 
 from defopt import run
 
@@ -91,6 +91,7 @@
     cfg = load_platform_settings(settings)
     writer = set_up_event_log(cfg.vm, cfg.log_level)
     daemon = PlatformDaemon(cfg)
+    set_wakeup_fd(daemon.wake_fd)
     for number in (SIGTERM, SIGINT):
         signal(number, lambda *_: daemon.request_stop())
     signal(SIGHUP, lambda *_: None)
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -1,5 +1,6 @@
 """Assembly of the entry daemon on the users' platform."""
 
+import os
 from collections.abc import Callable, Iterable
 from threading import Event, Thread
 from typing import Any, Final
@@ -54,6 +55,8 @@
 # Callers' calls take up to some 2 s when the store is silent.
 DRAIN_SECONDS: Final = 2.2
 READINESS_SECONDS: Final = 0.5
+# Signals that come together wake the daemon once.
+WAKE_BYTES: Final = 64
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -92,7 +95,12 @@
 
 
 class PlatformDaemon:
-    """All parts of one daemon on the platform."""
+    """All parts of one daemon on the platform.
+
+    ``run`` waits on a pipe. Its writing end, ``wake_fd``, is also for
+    ``signal.set_wakeup_fd``: a signal that the kernel gives to another thread does not
+    interrupt a wait of the main thread.
+    """
 
     __slots__ = (
         "_cfg",
@@ -103,13 +111,15 @@
         "_relay",
         "_side",
         "_ticker",
-        "_wake",
+        "_wake_read",
+        "wake_fd",
     )
 
     def __init__(self, cfg: PlatformSettings) -> None:
         self._cfg = cfg
         self._is_stopping = Event()
-        self._wake = Event()
+        self._wake_read, self.wake_fd = os.pipe()
+        os.set_blocking(self.wake_fd, False)
         self._ticker = Ticker()
         keeper = CatalogKeeper.start(KEY_CONFIG, decode_catalog)
         directory, health = PeerDirectory(), StoreHealth()
@@ -162,13 +172,14 @@
         self._front_thread.start()
         Thread(target=self._side.run, name="side", daemon=True).start()
         EVENTS.write("daemon_started", vm=self._cfg.vm, callers=self._cfg.callers)
-        self._wake.wait()
+        while not self._is_stopping.is_set():
+            os.read(self._wake_read, WAKE_BYTES)
         self._stop()
 
     def request_stop(self) -> None:
         """Ask ``run`` to stop; may be called from a signal handler."""
         self._is_stopping.set()
-        self._wake.set()
+        os.write(self.wake_fd, b"s")
 
     def _stop(self) -> None:
         """Hand the schedule over, let the balancer see the stop, then drain."""
