Stop gangs by one function and name the urgent priority once

Ruled out: changing what is stopped; the orders are the same.

Change: stop_gang serves planning, reclaiming and evacuation; headroom takes the priority from reclaim; the comments say deployment.

--- a/geraniumwell/actors/batch/peer_keeper.py
+++ b/geraniumwell/actors/batch/peer_keeper.py
@@ -50,7 +50,7 @@
         self._directory = directory
         self._ticker = ticker
         self._is_written = False
-        # Daemons of one installation spread over different relays.
+        # Daemons of one deployment spread over different relays.
         self._random = Random(vm)
 
     def on_start(self) -> None:
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -1,4 +1,4 @@
-"""Actor that schedules all jobs of an installation while its claim is valid."""
+"""Actor that schedules all jobs of a deployment while its claim is valid."""
 
 from math import inf
 from typing import Any
--- a/geraniumwell/commands/batch/evacuation.py
+++ b/geraniumwell/commands/batch/evacuation.py
@@ -1,7 +1,6 @@
 """Moves tasks away from workers that are about to leave."""
 
-from geraniumwell.commands.batch.lifecycle import request_stop
-from geraniumwell.commands.batch.reclaim import list_gang
+from geraniumwell.commands.batch.reclaim import stop_gang
 from geraniumwell.commands.batch.room import find_step_spec
 from geraniumwell.model.batch.cluster import Cluster, Order
 from geraniumwell.model.batch.job import Phase, Task
@@ -23,8 +22,7 @@
             continue
         for task in list(worker.tasks.values()):
             if task.phase is Phase.RUNNING and is_cut_short(cluster, worker, task, now):
-                for member in list_gang(cluster, task):
-                    orders += request_stop(cluster, member, now)
+                orders += stop_gang(cluster, task, now)
     return orders
 
 
--- a/geraniumwell/commands/batch/headroom.py
+++ b/geraniumwell/commands/batch/headroom.py
@@ -1,10 +1,10 @@
 """Whole workers that are kept free for urgent work."""
 
+from geraniumwell.commands.batch.reclaim import URGENT_PRIORITY
 from geraniumwell.commands.batch.room import Room
 from geraniumwell.model.batch.cluster import Unit
 from geraniumwell.model.batch.worker import WorkerState
 
-URGENT_PRIORITY = 0
 # Share of a service's workers that other work leaves free. Reclaiming takes up to a
 # second, which is a third of the objective of a short urgent job.
 HEADROOM_SHARE = 0.16
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -20,7 +20,7 @@
     count_urgent_use,
     find_eviction,
     is_guaranteed,
-    list_gang,
+    stop_gang,
 )
 from geraniumwell.commands.batch.room import Room, make_rooms, take_room
 from geraniumwell.commands.batch.units import collect_units
@@ -96,8 +96,7 @@
             if job.spec.steps[task.id.step].is_long_running:
                 continue
             note_stall(worker, now)
-            for member in list_gang(cluster, task):
-                orders += request_stop(cluster, member, now)
+            orders += stop_gang(cluster, task, now)
     return orders
 
 
@@ -203,8 +202,7 @@
         return []
     orders: list[Order] = []
     for victim in eviction.victims:
-        for member in list_gang(cluster, victim):
-            orders += request_stop(cluster, member, now)
+        orders += stop_gang(cluster, victim, now)
     for room, count in eviction.places:
         take_room(room, unit, count)
     return orders
--- a/geraniumwell/commands/batch/reclaim.py
+++ b/geraniumwell/commands/batch/reclaim.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from geraniumwell.commands.batch.lifecycle import find_step
+from geraniumwell.commands.batch.lifecycle import find_step, request_stop
 from geraniumwell.commands.batch.room import (
     Room,
     count_fitting,
@@ -11,7 +11,7 @@
     is_suitable,
     limit_of_step,
 )
-from geraniumwell.model.batch.cluster import Cluster, Unit
+from geraniumwell.model.batch.cluster import Cluster, Order, Unit
 from geraniumwell.model.batch.job import ENDED_STATES, Phase, Task, TaskId
 
 # A task in several racks is slow, so room in one rack may cost this much more work.
@@ -145,6 +145,15 @@
     return step.tasks
 
 
+def stop_gang(cluster: Cluster, task: Task, now: float) -> list[Order]:
+    """Begin to stop a task with all members of its gang; return the stops."""
+    return [
+        order
+        for member in list_gang(cluster, task)
+        for order in request_stop(cluster, member, now)
+    ]
+
+
 def weigh_loss(cluster: Cluster, task: Task, now: float) -> float:
     """Return the core-seconds that are lost if a task, or its gang, is stopped."""
     spec = find_step_spec(cluster, task.id)
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -1,4 +1,4 @@
-"""All that the scheduler of an installation knows."""
+"""All that the scheduler of a deployment knows."""
 
 from dataclasses import dataclass, field
 
