--- a/geraniumwell/actors/batch/fleet.py
+++ b/geraniumwell/actors/batch/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 
 from pykka import ActorRef
 
@@ -46,12 +47,15 @@
     ----------
     owner : ActorRef
         The scheduler, which gets all answers.
+    delayed : list
+        Heap of the times of later looks, and the workers' names.
     """
 
     epoch: int
     owner: ActorRef
     make_client: MakeClient
     links: dict[str, Links] = field(default_factory=dict)
+    delayed: list[tuple[float, str]] = field(default_factory=list)
 
     def close(self) -> None:
         """Stop all links; calls in progress end by themselves."""
@@ -81,19 +85,23 @@
         if worker is not None and worker.entry.address:
             tell(self._order_link(worker), SendStop(order))
 
-    def look_at_all(self, cluster: Cluster, valid_until: float, now: float) -> None:
-        """Look at each worker that needs it."""
-        for worker in cluster.workers.values():
-            if not worker.is_polling and worker.entry.address:
+    def look_at_due(self, cluster: Cluster, valid_until: float, now: float) -> None:
+        """Look at each worker that needs it, of those for which that may be new."""
+        while self.delayed and self.delayed[0][0] <= now:
+            cluster.unlooked.add(heappop(self.delayed)[1])
+        for name in sorted(cluster.unlooked):
+            worker = cluster.workers.get(name)
+            if worker is None or worker.is_polling or not worker.entry.address:
+                continue
+            if now < worker.poll_after:
+                heappush(self.delayed, (worker.poll_after, name))
+            elif worker.seen <= worker.saved and is_look_needed(worker):
                 self._look_at(cluster, worker, valid_until, now)
+        cluster.unlooked.clear()
 
     def _look_at(
         self, cluster: Cluster, worker: Worker, valid_until: float, now: float
     ) -> None:
-        if now < worker.poll_after or worker.seen > worker.saved:
-            return
-        if not is_look_needed(worker):
-            return
         may_extend = (
             bool(worker.tasks)
             and worker.clock_at > 0
--- a/geraniumwell/actors/batch/journal.py
+++ b/geraniumwell/actors/batch/journal.py
@@ -119,10 +119,13 @@
     )
     is_complete = not cluster.changed
     orders = [o for o in journal.orders if is_complete or o.id.job in jobs]
-    journal.orders = [o for o in journal.orders if o not in orders]
+    journal.orders = [
+        o for o in journal.orders if not is_complete and o.id.job not in jobs
+    ]
     seen = {}
     if is_complete:
-        seen = {key: worker.seen for key, worker in cluster.workers.items()}
+        cluster.unsaved &= cluster.workers.keys()
+        seen = {name: cluster.workers[name].seen for name in cluster.unsaved}
     journal.counter += 1
     journal.sent_at = now
     journal.flight = Flight(row, transaction, jobs, orders, seen, now)
@@ -140,6 +143,9 @@
         worker = cluster.workers.get(key)
         if worker is not None and number <= worker.seen:
             worker.saved = max(worker.saved, number)
+            cluster.unlooked.add(key)
+            if worker.saved == worker.seen:
+                cluster.unsaved.discard(key)
     return flight
 
 
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -92,6 +92,8 @@
 from geraniumwell.util.clock import steady_seconds, steady_wall_seconds
 
 RETRY_SECONDS = 0.1
+# What is over is kept for minutes, so it need not be looked for in each round.
+CLEAN_SECONDS = 1.0
 
 
 class Scheduler(ThreadingActor):
@@ -111,6 +113,7 @@
         self._is_loaded = False
         self._is_ended = False
         self._rounds = RoundTimer()
+        self._cleaned_at = 0.0
         self._is_renewal_due = False
         self._feeds: list[ActorRef] = []
         self._ends = EndReporter()
@@ -307,6 +310,7 @@
                     self._end("a worker has seen a higher epoch")
                 if code == OtherLifeError.code:
                     worker.poll_after = now + 1.0
+                self._cluster.touch_worker(message.worker)
             case WorkerSeen(_, _, report, sent_at):
                 if worker.is_silent:
                     EVENTS.write("worker_heard", worker=message.worker)
@@ -361,11 +365,17 @@
     def _plan(self, now: float, wall_now: float) -> None:
         with PLAN_SECONDS.time():
             self._carry_out(plan(self._cluster, now, wall_now))
+        WAITING.set(len(self._cluster.pending))
+        if now >= self._cleaned_at + CLEAN_SECONDS:
+            self._cleaned_at = now
+            self._clean(wall_now)
+
+    def _clean(self, wall_now: float) -> None:
+        """Forget workers and jobs that are over."""
         self._drop_links(forget_gone_workers(self._cluster))
         if old := forget_old_jobs(self._cluster, wall_now):
             self._ends.forget(old)
             tell(self._sweeper, SweepJobs(tuple(old)))
-        WAITING.set(sum(count_pending(self._cluster).values()))
         RUNNING.set(sum(len(w.tasks) for w in self._cluster.workers.values()))
 
     def _advance(self) -> None:
@@ -374,7 +384,7 @@
             return
         self._renew()
         now = steady_seconds()
-        self._fleet.look_at_all(self._cluster, self._journal.valid_until, now)
+        self._fleet.look_at_due(self._cluster, self._journal.valid_until, now)
 
     def _tick_after(self, seconds: float, name: str) -> None:
         self._parts.ticker.tick_after(seconds, self.actor_ref, name)
--- a/geraniumwell/commands/batch/answers.py
+++ b/geraniumwell/commands/batch/answers.py
@@ -43,6 +43,7 @@
     worker = cluster.workers.get(order.worker)
     if task is None or worker is None:
         return []
+    cluster.touch_worker(order.worker)
     match result:
         case StartResult.STARTED:
             note_start(worker)
@@ -80,6 +81,7 @@
     worker = cluster.workers.get(order.worker)
     if task is None or worker is None:
         return []
+    cluster.touch_worker(order.worker)
     note_refusal(worker, now)
     note_silence(worker, now)
     note_broken(cluster, task, now)
--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -5,6 +5,7 @@
     end_job,
     find_step,
     find_task,
+    note_change,
     release_task,
     settle_job,
 )
@@ -43,6 +44,7 @@
         Time at which the worker was asked; what was settled before and is not in
         the report no longer exists.
     """
+    cluster.touch_worker(worker.entry.id)
     note_life(cluster, worker, report.started_ms, now)
     worker.reported_at = sent_at
     worker.clock_ms, worker.clock_at = report.clock_ms, now
@@ -83,6 +85,7 @@
         worker.is_fenced = False
         worker.has_foreign = False
     worker.started_ms = started_ms
+    cluster.touch_worker(worker.entry.id)
 
 
 def apply_running(worker: Worker, item: RunningTask, now: float) -> list[Order]:
@@ -108,7 +111,9 @@
     cluster: Cluster, worker: Worker, end: EndedTask, now: float, wall_now: float
 ) -> list[Order]:
     """Apply one end that a worker lists; ends of earlier runs change nothing."""
-    worker.seen = max(worker.seen, end.number)
+    if end.number > worker.seen:
+        worker.seen = end.number
+        cluster.unsaved.add(worker.entry.id)
     task = find_task(cluster, end.id)
     if task is None or task.worker != worker.entry.id or task.run != end.run:
         return []
@@ -140,6 +145,7 @@
     step = find_step(job, task.id) if job else None
     if step is not None and step.spec.is_gang and not step.broken_at:
         step.broken_at = now
+        cluster.broken.add((task.id.job, step.occurrence, step.step))
 
 
 def _apply_done(
@@ -150,6 +156,9 @@
     for member in tasks:
         # Its place is freed when its own worker lists the end.
         member.phase = Phase.DONE
+        if member.worker:
+            cluster.touch_worker(member.worker)
+    note_change(cluster, job.spec.id)
     if job.state not in ENDED_STATES:
         settle_job(cluster, job, step.occurrence, wall_now)
 
--- /dev/null
+++ b/geraniumwell/commands/batch/indexing.py
@@ -0,0 +1,158 @@
+"""Keeps the index of the fleet's room up to date.
+
+Only workers that were touched since the last round are counted anew, so the cost of a
+round follows what has changed and not the size of the fleet.
+"""
+
+from heapq import heappop, heappush
+
+from geraniumwell.commands.batch.headroom import choose_held
+from geraniumwell.commands.batch.health import CUT_OFF_WORKERS, find_silent_data_centres
+from geraniumwell.commands.batch.room import (
+    can_receive,
+    find_needs,
+    make_room,
+    note_step,
+)
+from geraniumwell.model.batch.cluster import Cluster
+from geraniumwell.model.batch.room import FleetIndex, Pool, Room, Shelves
+from geraniumwell.model.batch.unit import Unit
+from geraniumwell.model.batch.worker import WorkerState
+
+
+def refresh_fleet(cluster: Cluster, now: float) -> None:
+    """Count the room of all touched workers anew, and choose the held workers."""
+    fleet = cluster.fleet
+    touched = cluster.touched_workers
+    if fleet.catalog_version != cluster.catalog.version:
+        # Priorities of queues may have changed.
+        fleet.catalog_version = cluster.catalog.version
+        touched |= cluster.workers.keys()
+    while fleet.wake_ups and fleet.wake_ups[0][0] <= now:
+        touched.add(heappop(fleet.wake_ups)[1])
+    touched |= _update_silence(cluster)
+    for name in sorted(touched):
+        _rebuild(cluster, name, now)
+    touched.clear()
+    for pool in fleet.pools.values():
+        if pool.is_stale:
+            pool.is_stale = False
+            _hold(pool, choose_held(pool))
+
+
+def _update_silence(cluster: Cluster) -> set[str]:
+    """Find the cut off data centres anew; return the workers of those that changed."""
+    fleet = cluster.fleet
+    for name in cluster.touched_workers:
+        worker = cluster.workers.get(name)
+        if worker is not None and worker.silent_at > worker.heard_at:
+            fleet.silent.add(name)
+        else:
+            fleet.silent.discard(name)
+    found: frozenset[str] = frozenset()
+    if len(fleet.silent) >= CUT_OFF_WORKERS:
+        found = find_silent_data_centres(cluster.workers.values())
+    changed = found ^ fleet.silent_data_centres
+    fleet.silent_data_centres = found
+    if not changed:
+        return set()
+    return {
+        name
+        for name, worker in cluster.workers.items()
+        if worker.entry.data_centre in changed
+    }
+
+
+def _rebuild(cluster: Cluster, name: str, now: float) -> None:
+    fleet = cluster.fleet
+    before = fleet.rooms.pop(name, None)
+    if before is not None:
+        _remove(fleet, before)
+    worker = cluster.workers.get(name)
+    if worker is None:
+        return
+    room = make_room(cluster, worker)
+    fleet.rooms[name] = room
+    for org, count in room.urgent.items():
+        fleet.urgent_use[org] = fleet.urgent_use.get(org, 0) + count
+    if now < worker.avoid_until:
+        heappush(fleet.wake_ups, (worker.avoid_until, name))
+    if not can_receive(worker, now):
+        return
+    if worker.entry.data_centre not in fleet.silent_data_centres:
+        _insert(fleet, room)
+
+
+def _remove(fleet: FleetIndex, room: Room) -> None:
+    for org, count in room.urgent.items():
+        fleet.urgent_use[org] -= count
+    entry = room.worker.entry
+    # The entry may name another service by now, so the room is looked for by itself.
+    for pool in fleet.pools.values():
+        if pool.rooms.get(entry.id) is not room:
+            continue
+        del pool.rooms[entry.id]
+        _unshelve(pool, room)
+        for rack, names in list(pool.idle.items()):
+            names.discard(entry.id)
+            if not names:
+                del pool.idle[rack]
+        pool.is_stale = True
+
+
+def _insert(fleet: FleetIndex, room: Room) -> None:
+    worker = room.worker
+    pool = fleet.pools.setdefault(worker.entry.service, Pool())
+    name = worker.entry.id
+    pool.rooms[name] = room
+    room.is_held = name in pool.held_names
+    _shelve(pool, room)
+    if not worker.tasks and worker.state is WorkerState.READY:
+        pool.idle.setdefault(worker.entry.rack, set()).add(name)
+    pool.is_stale = True
+
+
+def _hold(pool: Pool, names: frozenset[str]) -> None:
+    """Move rooms between those for all work and those for urgent work only."""
+    for name in pool.held_names ^ names:
+        room = pool.rooms.get(name)
+        if room is not None:
+            _unshelve(pool, room)
+            room.is_held = name in names
+            _shelve(pool, room)
+    pool.held_names = names
+
+
+def _get_shelves(pool: Pool, room: Room) -> Shelves:
+    return pool.held if room.is_held else pool.open
+
+
+def _shelve(pool: Pool, room: Room) -> None:
+    shelf = _get_shelves(pool, room).setdefault(room.free.accelerators, {})
+    shelf[room.worker.entry.id] = room
+
+
+def _unshelve(pool: Pool, room: Room) -> None:
+    shelves = _get_shelves(pool, room)
+    shelf = shelves[room.free.accelerators]
+    del shelf[room.worker.entry.id]
+    if not shelf:
+        del shelves[room.free.accelerators]
+
+
+def take_room(cluster: Cluster, room: Room, unit: Unit, count: int) -> None:
+    """Take the room of ``count`` tasks of a unit, now and later.
+
+    The worker is counted anew in the next round, so room that was only kept for a unit
+    does not stay taken.
+    """
+    pool = cluster.fleet.pools[unit.service]
+    needs = find_needs(unit.spec)
+    _unshelve(pool, room)
+    for _ in range(count):
+        room.free.subtract(needs)
+        room.later.subtract(needs)
+        room.evictable.subtract(needs)
+    note_step(room, unit.spec, unit.ids[0], count)
+    _shelve(pool, room)
+    cluster.touched_workers.add(room.worker.entry.id)
--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -12,6 +12,7 @@
     TaskId,
     open_occurrence,
 )
+from geraniumwell.model.batch.unit import StepKey
 
 
 def add_job(cluster: Cluster, spec: JobSpec, wall_now: float) -> None:
@@ -19,7 +20,7 @@
     if spec.id in cluster.jobs:
         return
     job = Job(spec)
-    cluster.jobs[spec.id] = job
+    keep_job(cluster, job)
     if spec.id in cluster.early_cancels:
         cluster.early_cancels.discard(spec.id)
         end_job(cluster, job, JobState.CANCELLED, wall_now)
@@ -27,6 +28,21 @@
     open_due_occurrences(job, wall_now)
 
 
+def keep_job(cluster: Cluster, job: Job) -> None:
+    """Put a new or stored job among the jobs of the cluster."""
+    job_id = job.spec.id
+    cluster.jobs[job_id] = job
+    cluster.taken_up += 1
+    job.sequence = cluster.taken_up
+    cluster.touched_jobs.add(job_id)
+    if job.state in ENDED_STATES:
+        return
+    if not job.has_begun:
+        cluster.pending[job_id] = job.spec.queue
+    if job.opened < job.spec.occurrences:
+        cluster.unopened.add(job_id)
+
+
 def cancel_job(
     cluster: Cluster, job_id: str, now: float, wall_now: float
 ) -> list[Order]:
@@ -50,7 +66,8 @@
     """Give a job its final state; return the stops of what still runs."""
     job.state = state
     job.ended_at = wall_now
-    cluster.changed.add(job.spec.id)
+    cluster.pending.pop(job.spec.id, None)
+    note_change(cluster, job.spec.id)
     orders: list[Order] = []
     for step in job.steps.values():
         for task in step.tasks:
@@ -58,14 +75,22 @@
     return orders
 
 
-def open_due_occurrences(job: Job, wall_now: float) -> None:
-    """Make the steps of each occurrence whose time has come."""
+def note_change(cluster: Cluster, job_id: str) -> None:
+    """Note that the progress of a job has changed."""
+    cluster.changed.add(job_id)
+    cluster.touched_jobs.add(job_id)
+
+
+def open_due_occurrences(job: Job, wall_now: float) -> bool:
+    """Make the steps of all occurrences that are due; tell whether there were any."""
     spec = job.spec
+    before = job.opened
     while job.opened < spec.occurrences:
         if wall_now < spec.first_due + job.opened * spec.period_seconds:
-            return
+            break
         open_occurrence(job, job.opened)
         job.opened += 1
+    return job.opened > before
 
 
 def find_step(job: Job, task_id: TaskId) -> StepRun | None:
@@ -73,6 +98,12 @@
     return job.steps.get((task_id.occurrence, task_id.step))
 
 
+def find_step_run(cluster: Cluster, key: StepKey) -> StepRun | None:
+    """Return a step by its key, or None where it is not kept."""
+    job = cluster.jobs.get(key[0])
+    return job.steps.get(key[1:]) if job else None
+
+
 def find_task(cluster: Cluster, task_id: TaskId) -> Task | None:
     """Return a task by its name, or None where it is not kept."""
     job = cluster.jobs.get(task_id.job)
@@ -93,6 +124,7 @@
     if not all(step.is_done() for step in steps):
         return
     job.finished.add(occurrence)
+    note_change(cluster, job.spec.id)
     if len(job.finished) == job.spec.occurrences and job.state not in ENDED_STATES:
         end_job(cluster, job, JobState.DONE, wall_now)
 
@@ -106,6 +138,8 @@
         return []
     task.phase = Phase.STOPPING
     task.stopped_at = now
+    cluster.stopping[task.id] = task
+    cluster.touch_worker(task.worker)
     return [StopTask(task.worker, task.id, task.run)]
 
 
@@ -114,13 +148,15 @@
     worker = cluster.workers.get(task.worker)
     if worker is not None:
         worker.tasks.pop(task.id, None)
+        cluster.touch_worker(task.worker)
+    cluster.stopping.pop(task.id, None)
     if task.phase not in (Phase.DONE, Phase.FAILED):
         task.phase = Phase.WAITING
     task.worker = ""
     task.settled_at = None
     task.is_order_sent = False
     task.stopped_at = None
-    cluster.changed.add(task.id.job)
+    note_change(cluster, task.id.job)
 
 
 def forget_old_jobs(cluster: Cluster, wall_now: float) -> list[str]:
--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -1,16 +1,17 @@
 """Choice of workers for a group of tasks."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
+from geraniumwell.commands.batch.priorities import URGENT_PRIORITY
 from geraniumwell.commands.batch.room import (
-    Room,
     count_fitting,
     find_needs,
     is_suitable,
     limit_of_step,
 )
-from geraniumwell.model.batch.cluster import Unit
 from geraniumwell.model.batch.resources import Resources
+from geraniumwell.model.batch.room import Pool, Room, Shelves
+from geraniumwell.model.batch.unit import Unit
 
 # Workers with the number of tasks that each gets.
 Placement = list[tuple[Room, int]]
@@ -32,34 +33,50 @@
     return room.later
 
 
-def place(
-    rooms: list[Room], unit: Unit, get_amount: GetAmount, is_far_allowed: bool
-) -> Placement:
-    """Return where the tasks of a unit go; empty if they can't be placed.
-
-    A gang is placed whole or not at all, other tasks as far as they fit.
+def place_now(pool: Pool, unit: Unit, is_far_allowed: Callable[[], bool]) -> Placement:
+    """Return where the tasks of a unit start; empty if they can't.
 
     Parameters
     ----------
-    is_far_allowed : bool
-        Whether tasks may be placed away from the rack where they run fastest.
+    is_far_allowed : callable
+        Tells whether tasks may run away from the rack where they run fastest; asked
+        only where it matters.
     """
-    fitting = find_fitting(rooms, unit, get_amount)
-    if not fitting:
+    if not may_fit(pool, unit):
         return []
+    if not unit.spec.rack and not unit.spec.is_same_rack:
+        return fill(iterate_fitting(pool, unit), unit)
+    fitting = list(iterate_fitting(pool, unit))
+    return choose_near(fitting, unit) or (
+        fill(fitting, unit) if is_far_allowed() else []
+    )
+
+
+def place(
+    rooms: Iterable[Room],
+    unit: Unit,
+    get_amount: GetAmount,
+    is_far_allowed: Callable[[], bool],
+) -> Placement:
+    """Return where the tasks of a unit go, by any amount of the rooms."""
+    fitting = find_fitting(rooms, unit, get_amount)
+    if not unit.spec.rack and not unit.spec.is_same_rack:
+        return fill(fitting, unit)
+    found = choose_near(fitting, unit)
+    if found or not fitting or not is_far_allowed():
+        return found
+    return fill(fitting, unit)
+
+
+def choose_near(fitting: Placement, unit: Unit) -> Placement:
+    """Return where a unit runs fastest, if it fits there."""
     if unit.spec.rack:
         near = [item for item in fitting if item[0].worker.entry.rack == unit.spec.rack]
-        found = fill(near, unit)
-        if found or not is_far_allowed:
-            return found
-    elif unit.spec.is_same_rack:
-        found = place_in_one_rack(fitting, unit)
-        if found or not is_far_allowed:
-            return found
-    return fill(fitting, unit)
+        return fill(near, unit)
+    return place_in_one_rack(fitting, unit)
 
 
-def could_be_near(rooms: list[Room], unit: Unit) -> bool:
+def could_be_near(rooms: Iterable[Room], unit: Unit) -> bool:
     """Tell whether empty workers could hold a unit where it runs fastest."""
     if unit.spec.rack:
         rooms = [r for r in rooms if r.worker.entry.rack == unit.spec.rack]
@@ -69,31 +86,67 @@
     return bool(place_in_one_rack(find_fitting(rooms, unit, get_capacity), unit))
 
 
-def find_fitting(
-    rooms: list[Room], unit: Unit, get_amount: GetAmount
-) -> list[tuple[Room, int]]:
+def list_shelves(pool: Pool, unit: Unit) -> list[Shelves]:
+    """Return the rooms that a unit may use."""
+    if unit.priority == URGENT_PRIORITY:
+        return [pool.open, pool.held]
+    return [pool.open]
+
+
+def may_fit(pool: Pool, unit: Unit) -> bool:
+    """Tell whether the free accelerators could hold a unit.
+
+    It is a bound that takes no look at single workers.
+    """
+    wanted = unit.spec.needs.accelerators
+    left = len(unit.ids) if unit.spec.is_gang else 1
+    if not wanted:
+        return True
+    for shelves in list_shelves(pool, unit):
+        for free, rooms in shelves.items():
+            if free >= wanted:
+                left -= len(rooms) * (free // wanted)
+    return left <= 0
+
+
+def iterate_fitting(pool: Pool, unit: Unit) -> Iterator[tuple[Room, int]]:
+    """Yield the workers on which tasks of a unit fit now, the fullest first."""
+    shelves = list_shelves(pool, unit)
+    levels = sorted({free for shelf in shelves for free in shelf})
+    for free in levels:
+        if free < unit.spec.needs.accelerators:
+            continue
+        rooms = [room for shelf in shelves for room in shelf.get(free, {}).values()]
+        yield from find_fitting(rooms, unit, get_free)
+
+
+def find_fitting(rooms: Iterable[Room], unit: Unit, get_amount: GetAmount) -> Placement:
     """Return the workers on which tasks of a unit fit, the fullest first."""
     needs = find_needs(unit.spec)
-    fitting: list[tuple[Room, int]] = []
+    wanted = needs.accelerators
+    most = len(unit.ids)
+    fitting: Placement = []
     for room in rooms:
-        if not is_suitable(room, unit):
+        amount = get_amount(room)
+        if amount.accelerators < wanted or not is_suitable(room, unit):
             continue
-        most = min(len(unit.ids), limit_of_step(room, unit))
-        count = count_fitting(get_amount(room), needs, most)
-        if count:
+        if unit.spec.max_per_worker:
+            most = min(len(unit.ids), limit_of_step(room, unit))
+        if count := count_fitting(amount, needs, most):
             fitting.append((room, count))
     # Filling the fullest first keeps whole workers free for large tasks.
-    fitting.sort(key=lambda item: _rank_fullness(get_amount(item[0])))
+    fitting.sort(key=lambda item: _rank_fullness(item[0], get_amount(item[0])))
     return fitting
 
 
-def _rank_fullness(amount: Resources) -> tuple[int, int, int]:
-    return (amount.accelerators, amount.memory_mb, amount.cpu_millis)
+def _rank_fullness(room: Room, amount: Resources) -> tuple[int, int, int, str]:
+    name = room.worker.entry.id
+    return (amount.accelerators, amount.memory_mb, amount.cpu_millis, name)
 
 
-def place_in_one_rack(fitting: list[tuple[Room, int]], unit: Unit) -> Placement:
+def place_in_one_rack(fitting: Placement, unit: Unit) -> Placement:
     """Return a placement inside the rack that it fills best, if there is one."""
-    by_rack: dict[str, list[tuple[Room, int]]] = {}
+    by_rack: dict[str, Placement] = {}
     for item in fitting:
         by_rack.setdefault(item[0].worker.entry.rack, []).append(item)
     best: Placement = []
@@ -108,8 +161,11 @@
     return best
 
 
-def fill(fitting: list[tuple[Room, int]], unit: Unit) -> Placement:
-    """Give the tasks of a unit to workers in order."""
+def fill(fitting: Iterable[tuple[Room, int]], unit: Unit) -> Placement:
+    """Give the tasks of a unit to workers in order.
+
+    A gang is placed whole or not at all, other tasks as far as they fit.
+    """
     left = len(unit.ids)
     found: Placement = []
     for room, count in fitting:
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -1,38 +1,41 @@
 """One round of planning: what is stopped and what is started."""
 
+from dataclasses import dataclass, field
+
 from geraniumwell.commands.batch.ends import note_broken
 from geraniumwell.commands.batch.evacuation import evacuate
-from geraniumwell.commands.batch.headroom import find_held, leave_headroom
 from geraniumwell.commands.batch.health import note_stall
+from geraniumwell.commands.batch.indexing import refresh_fleet, take_room
 from geraniumwell.commands.batch.leases import find_lapsed
 from geraniumwell.commands.batch.lifecycle import (
-    open_due_occurrences,
+    find_step_run,
+    note_change,
     release_task,
     request_stop,
 )
 from geraniumwell.commands.batch.placement import (
     Placement,
     could_be_near,
-    get_free,
     get_later,
     place,
+    place_now,
 )
+from geraniumwell.commands.batch.priorities import URGENT_PRIORITY
 from geraniumwell.commands.batch.reclaim import (
-    count_urgent_use,
     find_eviction,
     is_guaranteed,
     stop_gang,
 )
-from geraniumwell.commands.batch.room import Room, make_rooms, take_room
-from geraniumwell.commands.batch.units import collect_units
+from geraniumwell.commands.batch.units import open_occurrences, refresh_queue
 from geraniumwell.model.batch.cluster import (
     Cluster,
     Order,
     StartTask,
     StopTask,
-    Unit,
 )
 from geraniumwell.model.batch.job import ENDED_STATES, Phase, StepRun, Task
+from geraniumwell.model.batch.room import Pool, Room
+from geraniumwell.model.batch.unit import Shape, Unit
 
 # Members of a broken gang end by themselves within this time on sound workers.
 BROKEN_GANG_SECONDS = 0.8
@@ -48,18 +51,35 @@
 FAR_WAIT_LIMIT_SECONDS = 12.0
 
 
+@dataclass(slots=True)
+class Attempts:
+    """What was found out about shapes in one round; room only shrinks meanwhile.
+
+    Parameters
+    ----------
+    unfit, unevictable : set of Shape
+        Shapes that fit nowhere, now or after stops of other work.
+    near : dict
+        Whether empty workers could hold a shape where it runs fastest.
+    """
+
+    unfit: set[Shape] = field(default_factory=set)
+    unevictable: set[Shape] = field(default_factory=set)
+    near: dict[Shape, bool] = field(default_factory=dict)
+
+
 def plan(cluster: Cluster, now: float, wall_now: float) -> list[Order]:
     """Return the orders of one round; the state says what they bring about."""
     orders: list[Order] = []
-    for job in cluster.jobs.values():
-        if job.state not in ENDED_STATES:
-            open_due_occurrences(job, wall_now)
+    open_occurrences(cluster, wall_now)
     release_lapsed(cluster, now)
     orders += stop_remains(cluster, now)
     orders += stop_stalled(cluster, now)
     orders += repeat_stops(cluster, now)
     orders += evacuate(cluster, now)
-    orders += place_units(cluster, now, wall_now)
+    refresh_fleet(cluster, now)
+    refresh_queue(cluster, now, wall_now)
+    orders += place_units(cluster, now)
     return orders
 
 
@@ -74,21 +94,32 @@
 def stop_remains(cluster: Cluster, now: float) -> list[Order]:
     """Stop the members of gangs that have lost a member."""
     orders: list[Order] = []
-    for job in cluster.jobs.values():
-        if job.state in ENDED_STATES:
+    for key in sorted(cluster.broken):
+        step = find_step_run(cluster, key)
+        if step is None or not step.broken_at:
+            cluster.broken.discard(key)
+            continue
+        if now - step.broken_at < BROKEN_GANG_SECONDS:
+            continue
+        step.broken_at = 0.0
+        cluster.broken.discard(key)
+        if cluster.jobs[key[0]].state in ENDED_STATES:
             continue
-        for step in job.steps.values():
-            if step.broken_at and now - step.broken_at >= BROKEN_GANG_SECONDS:
-                step.broken_at = 0.0
-                for task in step.tasks:
-                    orders += request_stop(cluster, task, now)
+        for task in step.tasks:
+            orders += request_stop(cluster, task, now)
     return orders
 
 
 def stop_stalled(cluster: Cluster, now: float) -> list[Order]:
-    """Stop tasks that make no progress although their worker answers."""
+    """Stop tasks that make no progress although their worker answers.
+
+    Only a report can show that, and it marks its worker as touched.
+    """
     orders: list[Order] = []
-    for worker in cluster.workers.values():
+    for name in sorted(cluster.touched_workers):
+        worker = cluster.workers.get(name)
+        if worker is None:
+            continue
         for task in list(worker.tasks.values()):
             if task.phase is not Phase.RUNNING:
                 continue
@@ -105,53 +136,73 @@
 def repeat_stops(cluster: Cluster, now: float) -> list[Order]:
     """Send stops again that seem to have had no effect."""
     orders: list[Order] = []
-    for worker in cluster.workers.values():
-        for task in worker.tasks.values():
-            if task.phase is not Phase.STOPPING or task.stopped_at is None:
-                continue
-            if now - task.stopped_at >= STOP_REPEAT_SECONDS:
-                task.stopped_at = now
-                orders.append(StopTask(worker.entry.id, task.id, task.run))
+    for task in list(cluster.stopping.values()):
+        if task.phase is not Phase.STOPPING or task.stopped_at is None:
+            del cluster.stopping[task.id]
+        elif now - task.stopped_at >= STOP_REPEAT_SECONDS:
+            task.stopped_at = now
+            orders.append(StopTask(task.worker, task.id, task.run))
     return orders
 
 
-def place_units(cluster: Cluster, now: float, wall_now: float) -> list[Order]:
+def place_units(cluster: Cluster, now: float) -> list[Order]:
     """Start what fits, in order of urgency, and make room for guaranteed work."""
     orders: list[Order] = []
-    rooms = make_rooms(cluster, now)
-    use = count_urgent_use(cluster)
-    held = {
-        name: find_held(rooms, name)
-        for name in {room.worker.entry.service for room in rooms}
-    }
-    for unit in collect_units(cluster, now, wall_now):
+    attempts = Attempts()
+    use = dict(cluster.fleet.urgent_use)
+    for unit in list(cluster.queue.units):
+        pool = cluster.fleet.pools.get(unit.service)
+        if pool is None:
+            continue
         is_reclaiming = is_guaranteed(cluster, unit, use)
-        is_far = is_far_allowed(rooms, unit, is_reclaiming, now)
-        usable = leave_headroom(rooms, unit, held.get(unit.service, frozenset()))
-        found = place(usable, unit, get_free, is_far)
+        found: Placement = []
+        if unit.shape not in attempts.unfit:
+            found = try_now(pool, unit, is_reclaiming, attempts, now)
         if found:
             orders += start_unit(cluster, unit, found, now)
-            taken = sum(count for _, count in found) * unit.spec.needs.accelerators
-            use[unit.organisation] = use.get(unit.organisation, 0) + taken
-        elif is_reclaiming:
-            orders += reclaim(cluster, rooms, unit, is_far, now)
+            if unit.priority == URGENT_PRIORITY:
+                taken = sum(count for _, count in found) * unit.spec.needs.accelerators
+                use[unit.organisation] = use.get(unit.organisation, 0) + taken
+        elif is_reclaiming and unit.shape not in attempts.unevictable:
+            orders += reclaim(cluster, pool, unit, attempts, now)
     return orders
 
 
+def try_now(
+    pool: Pool, unit: Unit, is_reclaiming: bool, attempts: Attempts, now: float
+) -> Placement:
+    """Return where a unit starts now; remember shapes that fit nowhere."""
+    was_near_wanted = False
+
+    def is_far() -> bool:
+        nonlocal was_near_wanted
+        allowed = is_far_allowed(pool, unit, is_reclaiming, attempts, now)
+        was_near_wanted = not allowed
+        return allowed
+
+    found = place_now(pool, unit, is_far)
+    # A unit that only waits for its rack says nothing about others of its shape.
+    if not found and not was_near_wanted and unit.shape is not None:
+        attempts.unfit.add(unit.shape)
+    return found
+
+
 def is_far_allowed(
-    rooms: list[Room], unit: Unit, is_reclaiming: bool, now: float
+    pool: Pool, unit: Unit, is_reclaiming: bool, attempts: Attempts, now: float
 ) -> bool:
     """Tell whether a unit may run away from its rack.
 
     It may after a while, and at once if not even empty workers of a rack could hold it.
     """
-    if not could_be_near(rooms, unit):
-        return True
     waited = now - unit.waiting_since
-    if is_reclaiming:
-        return waited >= URGENT_FAR_SECONDS
-    limit = FAR_WAIT_FACTOR * unit.spec.estimate_seconds
-    return waited >= min(limit, FAR_WAIT_LIMIT_SECONDS)
+    limit = min(FAR_WAIT_FACTOR * unit.spec.estimate_seconds, FAR_WAIT_LIMIT_SECONDS)
+    if waited >= (URGENT_FAR_SECONDS if is_reclaiming else limit):
+        return True
+    if unit.shape is None:
+        return not could_be_near(pool.rooms.values(), unit)
+    if unit.shape not in attempts.near:
+        attempts.near[unit.shape] = could_be_near(pool.rooms.values(), unit)
+    return not attempts.near[unit.shape]
 
 
 def start_unit(
@@ -159,8 +210,8 @@
 ) -> list[Order]:
     """Mark the tasks of a unit as started and return the orders."""
     orders: list[Order] = []
-    job = cluster.jobs[unit.key.job]
-    step = job.steps[unit.key.occurrence, unit.key.step]
+    job = cluster.jobs[unit.key[0]]
+    step = job.steps[unit.key[1], unit.key[2]]
     tasks = iter([step.tasks[task_id.index] for task_id in unit.ids])
     gang_run = max(task.run for task in step.tasks) + 1
     checkpoint = find_checkpoint(step)
@@ -169,18 +220,19 @@
             task = next(tasks)
             task.run = gang_run if unit.spec.is_gang else task.run + 1
             saved = checkpoint if unit.spec.is_gang else task.checkpoint
-            assign(room, task, now)
+            assign(cluster, room, task, now)
             orders.append(
                 StartTask(task.worker, task.id, task.run, job.spec.payload, saved)
             )
-        take_room(room, unit, count)
+        take_room(cluster, room, unit, count)
     step.broken_at = 0.0
     job.has_begun = True
-    cluster.changed.add(job.spec.id)
+    cluster.pending.pop(job.spec.id, None)
+    note_change(cluster, job.spec.id)
     return orders
 
 
-def assign(room: Room, task: Task, now: float) -> None:
+def assign(cluster: Cluster, room: Room, task: Task, now: float) -> None:
     """Put a task on a worker."""
     task.phase = Phase.STARTING
     task.worker = room.worker.entry.id
@@ -190,6 +242,7 @@
     task.progress = 0
     task.started_at = task.progressed_at = now
     room.worker.tasks[task.id] = task
+    cluster.touch_worker(task.worker)
 
 
 def find_checkpoint(step: StepRun) -> str:
@@ -198,20 +251,28 @@
 
 
 def reclaim(
-    cluster: Cluster, rooms: list[Room], unit: Unit, is_far: bool, now: float
+    cluster: Cluster, pool: Pool, unit: Unit, attempts: Attempts, now: float
 ) -> list[Order]:
     """Stop other work where a guaranteed unit will start, and keep the room."""
-    found = place(rooms, unit, get_later, is_far)
+    rooms = list(pool.rooms.values())
+    found = place(
+        rooms,
+        unit,
+        get_later,
+        lambda: is_far_allowed(pool, unit, True, attempts, now),
+    )
     if found:
         for room, count in found:
-            take_room(room, unit, count)
+            take_room(cluster, room, unit, count)
         return []
     eviction = find_eviction(cluster, rooms, unit, now)
     if eviction is None:
+        if unit.shape is not None:
+            attempts.unevictable.add(unit.shape)
         return []
     orders: list[Order] = []
     for victim in eviction.victims:
         orders += stop_gang(cluster, victim, now)
     for room, count in eviction.places:
-        take_room(room, unit, count)
+        take_room(cluster, room, unit, count)
     return orders
--- /dev/null
+++ b/geraniumwell/commands/batch/priorities.py
@@ -0,0 +1,33 @@
+"""Which work may take the place of other work."""
+
+from geraniumwell.model.batch.cluster import Cluster
+from geraniumwell.model.batch.job import Job, Phase, StepSpec, Task, TaskId
+
+URGENT_PRIORITY = 0
+
+
+def find_step_spec(cluster: Cluster, task_id: TaskId) -> StepSpec:
+    """Return the declaration of a task's step."""
+    return cluster.jobs[task_id.job].spec.steps[task_id.step]
+
+
+def find_priority(cluster: Cluster, job: Job) -> int:
+    """Return the priority of a job's queue."""
+    queue = cluster.catalog.queue_by_name.get(job.spec.queue)
+    return queue.priority if queue else job.spec.priority
+
+
+def is_evictable(spec: StepSpec, phase: Phase, priority: int) -> bool:
+    """Tell whether guaranteed work of another may take a task's place."""
+    if phase not in (Phase.STARTING, Phase.RUNNING):
+        return False
+    if spec.is_long_running and not spec.is_filler:
+        return False
+    return priority != URGENT_PRIORITY
+
+
+def is_task_evictable(cluster: Cluster, task: Task) -> bool:
+    """Tell whether guaranteed work of another may take a task's place."""
+    job = cluster.jobs[task.id.job]
+    spec = job.spec.steps[task.id.step]
+    return is_evictable(spec, task.phase, find_priority(cluster, job))
--- a/geraniumwell/commands/batch/reclaim.py
+++ b/geraniumwell/commands/batch/reclaim.py
@@ -1,24 +1,29 @@
 """Room for guaranteed work: which running tasks are stopped for it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from geraniumwell.commands.batch.lifecycle import find_step, request_stop
+from geraniumwell.commands.batch.priorities import (
+    URGENT_PRIORITY,
+    find_step_spec,
+    is_task_evictable,
+)
 from geraniumwell.commands.batch.room import (
-    Room,
     count_fitting,
     find_needs,
-    find_step_spec,
     is_suitable,
     limit_of_step,
 )
-from geraniumwell.model.batch.cluster import Cluster, Order, Unit
-from geraniumwell.model.batch.job import ENDED_STATES, Phase, StepSpec, Task, TaskId
+from geraniumwell.model.batch.cluster import Cluster, Order
+from geraniumwell.model.batch.job import ENDED_STATES, StepSpec, Task
+from geraniumwell.model.batch.room import Room
+from geraniumwell.model.batch.unit import Unit
 
 # A stop of a task with checkpoints loses little more than its restart.
 CHECKPOINT_LOSS_SECONDS = 0.5
 # An accelerator counts as this many cores when work is weighed.
 CORES_PER_ACCELERATOR = 8
-URGENT_PRIORITY = 0
 
 
 @dataclass(slots=True)
@@ -30,26 +35,6 @@
     cost: float = 0.0
 
 
-def count_urgent_use(cluster: Cluster) -> dict[str, int]:
-    """Return the accelerators in urgent use for each organisation."""
-    use: dict[str, int] = {}
-    for worker in cluster.workers.values():
-        for task in worker.tasks.values():
-            job = cluster.jobs[task.id.job]
-            if find_priority(cluster, task.id) == URGENT_PRIORITY:
-                needs = find_step_spec(cluster, task.id).needs
-                org = job.spec.organisation
-                use[org] = use.get(org, 0) + needs.accelerators
-    return use
-
-
-def find_priority(cluster: Cluster, task_id: TaskId) -> int:
-    """Return the priority of a task's queue."""
-    spec = cluster.jobs[task_id.job].spec
-    queue = cluster.catalog.queue_by_name.get(spec.queue)
-    return queue.priority if queue else spec.priority
-
-
 def is_guaranteed(cluster: Cluster, unit: Unit, use: dict[str, int]) -> bool:
     """Tell whether a unit lies within the guarantee of its organisation."""
     org = cluster.catalog.organisations.get(unit.organisation)
@@ -60,22 +45,24 @@
 
 
 def find_eviction(
-    cluster: Cluster, rooms: list[Room], unit: Unit, now: float
+    cluster: Cluster, rooms: Iterable[Room], unit: Unit, now: float
 ) -> Eviction | None:
     """Return the cheapest way to make room for a whole unit, or None.
 
     Room in one rack may cost as much more as the unit would waste by running far.
     """
-    suitable = [room for room in rooms if is_suitable(room, unit)]
-    best = evict_among(cluster, suitable, unit, now)
+    options = list_options(cluster, rooms, unit, now)
+    best = combine(options, unit)
     if not (unit.spec.is_same_rack or unit.spec.rack):
         return best
+    by_rack: dict[str, list[Eviction]] = {}
+    for option in options:
+        rack = option.places[0][0].worker.entry.rack
+        if not unit.spec.rack or rack == unit.spec.rack:
+            by_rack.setdefault(rack, []).append(option)
     nearest: Eviction | None = None
-    for rack in sorted({room.worker.entry.rack for room in suitable}):
-        if unit.spec.rack and rack != unit.spec.rack:
-            continue
-        near = [room for room in suitable if room.worker.entry.rack == rack]
-        found = evict_among(cluster, near, unit, now)
+    for _, near in sorted(by_rack.items()):
+        found = combine(near, unit)
         if found and (nearest is None or found.cost < nearest.cost):
             nearest = found
     if nearest is None:
@@ -91,19 +78,32 @@
     return count_cores(unit.spec) * len(unit.ids) * seconds
 
 
-def evict_among(
-    cluster: Cluster, rooms: list[Room], unit: Unit, now: float
-) -> Eviction | None:
-    """Return the cheapest way among some workers, found one worker at a time."""
-    options = [
-        (option.cost / option.places[0][1], index, option)
-        for index, room in enumerate(rooms)
-        if (option := evict_on(cluster, room, unit, now))
-    ]
-    options.sort(key=lambda item: item[:2])
+def list_options(
+    cluster: Cluster, rooms: Iterable[Room], unit: Unit, now: float
+) -> list[Eviction]:
+    """Return the cheapest way on each suitable worker, the cheapest task first."""
+    needs = find_needs(unit.spec)
+    options: list[Eviction] = []
+    for room in rooms:
+        # Without this look most workers of a full fleet would be searched in vain.
+        if not count_fitting(room.evictable, needs, 1) or not is_suitable(room, unit):
+            continue
+        if option := evict_on(cluster, room, unit, now):
+            options.append(option)
+    options.sort(
+        key=lambda item: (
+            item.cost / item.places[0][1],
+            item.places[0][0].worker.entry.id,
+        )
+    )
+    return options
+
+
+def combine(options: list[Eviction], unit: Unit) -> Eviction | None:
+    """Return the cheapest options that hold a whole unit together, or None."""
     total = Eviction()
     left = len(unit.ids)
-    for _, _, option in options:
+    for option in options:
         room, count = option.places[0]
         taken = min(count, left)
         total.places.append((room, taken))
@@ -127,7 +127,7 @@
     candidates = sorted(
         (weigh_loss(cluster, task, now), str(task.id), task)
         for task in room.worker.tasks.values()
-        if is_evictable(cluster, task)
+        if is_task_evictable(cluster, task)
     )
     for loss, _, task in candidates:
         amount.add(find_needs(find_step_spec(cluster, task.id)))
@@ -138,16 +138,6 @@
     return None
 
 
-def is_evictable(cluster: Cluster, task: Task) -> bool:
-    """Tell whether guaranteed work of another may take a task's place."""
-    if task.phase not in (Phase.STARTING, Phase.RUNNING):
-        return False
-    spec = find_step_spec(cluster, task.id)
-    if spec.is_long_running and not spec.is_filler:
-        return False
-    return find_priority(cluster, task.id) != URGENT_PRIORITY
-
-
 def list_gang(cluster: Cluster, task: Task) -> list[Task]:
     """Return a task with all members of its gang."""
     job = cluster.jobs[task.id.job]
--- a/geraniumwell/commands/batch/registry.py
+++ b/geraniumwell/commands/batch/registry.py
@@ -2,8 +2,9 @@
 
 from geraniumwell.commands.batch.ends import note_life
 from geraniumwell.commands.batch.leases import bound_unknown_lease
+from geraniumwell.commands.batch.lifecycle import keep_job
 from geraniumwell.model.batch.cluster import Cluster
-from geraniumwell.model.batch.job import Job, Task
+from geraniumwell.model.batch.job import Job, Phase, Task
 from geraniumwell.model.batch.resources import Resources
 from geraniumwell.model.batch.worker import Worker, WorkerEntry, WorkerState
 
@@ -15,6 +16,7 @@
     if worker is None:
         worker = Worker(entry, started_ms=entry.started_ms)
         cluster.workers[entry.id] = worker
+    cluster.touch_worker(entry.id)
     if entry.started_ms > worker.started_ms:
         note_life(cluster, worker, entry.started_ms, now)
     worker.entry = entry
@@ -33,6 +35,7 @@
     if worker is None:
         return False
     worker.state = WorkerState.GONE
+    cluster.touch_worker(worker_id)
     if worker.tasks:
         return False
     del cluster.workers[worker_id]
@@ -61,13 +64,14 @@
         if worker.state is WorkerState.GONE and not worker.tasks
     ]
     for worker_id in gone:
+        cluster.touch_worker(worker_id)
         del cluster.workers[worker_id]
     return gone
 
 
 def restore_job(cluster: Cluster, job: Job, now: float) -> None:
     """Take up a stored job; what it says to be placed may still run."""
-    cluster.jobs[job.spec.id] = job
+    keep_job(cluster, job)
     for step in job.steps.values():
         for task in step.tasks:
             if task.worker:
@@ -88,6 +92,11 @@
         worker = Worker(entry, WorkerState.GONE)
         cluster.workers[task.worker] = worker
     worker.tasks[task.id] = task
+    cluster.touch_worker(task.worker)
     worker.lease_until = bound_unknown_lease(cluster.policy, now)
     task.settled_at = task.started_at = task.progressed_at = now
     task.is_order_sent = True
+    if task.phase is Phase.STOPPING:
+        # The earlier scheduler may have ended before it sent the stop.
+        task.stopped_at = now
+        cluster.stopping[task.id] = task
--- a/geraniumwell/commands/batch/room.py
+++ b/geraniumwell/commands/batch/room.py
@@ -1,38 +1,18 @@
-"""Free room of workers during one round of planning."""
-
-from dataclasses import dataclass, field
-
-from geraniumwell.commands.batch.health import find_silent_data_centres
-from geraniumwell.model.batch.cluster import Cluster, Unit
+"""Room of one worker, and what fits into it."""
+
+from geraniumwell.commands.batch.priorities import (
+    URGENT_PRIORITY,
+    find_priority,
+    is_evictable,
+)
+from geraniumwell.model.batch.cluster import Cluster
 from geraniumwell.model.batch.job import Phase, StepSpec, TaskId
 from geraniumwell.model.batch.resources import Resources
+from geraniumwell.model.batch.room import Room
+from geraniumwell.model.batch.unit import Unit
 from geraniumwell.model.batch.worker import Worker, WorkerState
 
 
-@dataclass(slots=True)
-class Room:
-    """Room of one worker.
-
-    Parameters
-    ----------
-    free : Resources
-        What can be taken at once.
-    later : Resources
-        What will be free when the tasks that are being stopped have ended.
-    has_fillers, has_servers : bool
-        Whether steps that take unused capacity, or that serve users, run there.
-    counts : dict
-        Tasks of steps with a limit for each worker, by job, occurrence and step.
-    """
-
-    worker: Worker
-    free: Resources
-    later: Resources
-    has_fillers: bool = False
-    has_servers: bool = False
-    counts: dict[tuple[str, int, int], int] = field(default_factory=dict)
-
-
 def find_needs(spec: StepSpec) -> Resources:
     """Return what a task takes of a worker's room."""
     if not spec.is_filler:
@@ -41,11 +21,6 @@
     return Resources(0, spec.needs.memory_mb, spec.needs.accelerators)
 
 
-def find_step_spec(cluster: Cluster, task_id: TaskId) -> StepSpec:
-    """Return the declaration of a task's step."""
-    return cluster.jobs[task_id.job].spec.steps[task_id.step]
-
-
 def can_receive(worker: Worker, now: float) -> bool:
     """Tell whether a worker may be given new tasks."""
     return (
@@ -57,25 +32,23 @@
     )
 
 
-def make_rooms(cluster: Cluster, now: float) -> list[Room]:
-    """Return the room of each worker that may be given new tasks."""
-    silent = find_silent_data_centres(cluster.workers.values())
-    return [
-        make_room(cluster, worker)
-        for worker in cluster.workers.values()
-        if can_receive(worker, now) and worker.entry.data_centre not in silent
-    ]
-
-
 def make_room(cluster: Cluster, worker: Worker) -> Room:
     """Return the room of one worker."""
-    room = Room(worker, worker.entry.capacity.copy(), worker.entry.capacity.copy())
+    capacity = worker.entry.capacity
+    room = Room(worker, capacity.copy(), capacity.copy(), capacity.copy())
     for task in worker.tasks.values():
-        spec = find_step_spec(cluster, task.id)
+        job = cluster.jobs[task.id.job]
+        spec = job.spec.steps[task.id.step]
         needs = find_needs(spec)
+        priority = find_priority(cluster, job)
         room.free.subtract(needs)
         if task.phase is not Phase.STOPPING:
             room.later.subtract(needs)
+            if not is_evictable(spec, task.phase, priority):
+                room.evictable.subtract(needs)
+        if priority == URGENT_PRIORITY:
+            org = job.spec.organisation
+            room.urgent[org] = room.urgent.get(org, 0) + spec.needs.accelerators
         note_step(room, spec, task.id, 1)
     return room
 
@@ -92,8 +65,6 @@
 def is_suitable(room: Room, unit: Unit) -> bool:
     """Tell whether a worker may run the tasks of a unit at all."""
     entry, spec = room.worker.entry, unit.spec
-    if entry.service != unit.service:
-        return False
     if spec.label and spec.label not in entry.labels:
         return False
     # Fillers slow down the tasks beside them that serve users.
@@ -120,14 +91,4 @@
     """Return how many more tasks of a unit's step a worker may get."""
     if not unit.spec.max_per_worker:
         return len(unit.ids)
-    key = (unit.key.job, unit.key.occurrence, unit.key.step)
-    return max(0, unit.spec.max_per_worker - room.counts.get(key, 0))
-
-
-def take_room(room: Room, unit: Unit, count: int) -> None:
-    """Take the room of ``count`` tasks of a unit, now and later."""
-    needs = find_needs(unit.spec)
-    for _ in range(count):
-        room.free.subtract(needs)
-        room.later.subtract(needs)
-    note_step(room, unit.spec, unit.ids[0], count)
+    return max(0, unit.spec.max_per_worker - room.counts.get(unit.key, 0))
--- a/geraniumwell/commands/batch/units.py
+++ b/geraniumwell/commands/batch/units.py
@@ -1,8 +1,16 @@
-"""Groups of waiting tasks that are placed together, in order of urgency."""
+"""Groups of waiting tasks that are placed together, in order of urgency.
 
-from geraniumwell.commands.batch.lifecycle import is_step_open
-from geraniumwell.model.batch.cluster import Cluster, Unit, UnitKey
-from geraniumwell.model.batch.job import ENDED_STATES, Job, Phase, StepRun
+Only the units of jobs that were touched since the last round are made anew.
+"""
+
+from heapq import heappop, heappush
+
+from geraniumwell.commands.batch.lifecycle import is_step_open, open_due_occurrences
+from geraniumwell.commands.batch.priorities import URGENT_PRIORITY, find_priority
+from geraniumwell.commands.batch.room import find_needs
+from geraniumwell.model.batch.cluster import Cluster
+from geraniumwell.model.batch.job import ENDED_STATES, Job, Phase, StepRun, StepSpec
+from geraniumwell.model.batch.unit import Shape, StepKey, Unit
 
 # A result that comes later than this multiple of its objective is worth nothing.
 WORTHLESS_FACTOR = 3.0
@@ -27,20 +35,54 @@
     return begin + objective, begin + WORTHLESS_FACTOR * objective
 
 
-def collect_units(cluster: Cluster, now: float, wall_now: float) -> list[Unit]:
-    """Return all groups of tasks that may start, the most urgent first."""
-    units: list[Unit] = []
-    for job in cluster.jobs.values():
-        if job.state in ENDED_STATES:
+def open_occurrences(cluster: Cluster, wall_now: float) -> None:
+    """Make the steps of each occurrence whose time has come."""
+    for job_id in list(cluster.unopened):
+        job = cluster.jobs.get(job_id)
+        if job is None or job.state in ENDED_STATES:
+            cluster.unopened.discard(job_id)
+            continue
+        if open_due_occurrences(job, wall_now):
+            cluster.touched_jobs.add(job_id)
+        if job.opened == job.spec.occurrences:
+            cluster.unopened.discard(job_id)
+
+
+def refresh_queue(cluster: Cluster, now: float, wall_now: float) -> None:
+    """Make the units of all touched jobs anew."""
+    queue, touched = cluster.queue, cluster.touched_jobs
+    if queue.catalog_version != cluster.catalog.version:
+        queue.catalog_version = cluster.catalog.version
+        touched |= cluster.jobs.keys()
+    while queue.expiries and queue.expiries[0][0] < wall_now:
+        touched.add(heappop(queue.expiries)[1])
+    if not touched:
+        return
+    stale = {key for job_id in touched for key in queue.keys.pop(job_id, ())}
+    if stale:
+        queue.units = [unit for unit in queue.units if unit.key not in stale]
+    for job_id in touched:
+        job = cluster.jobs.get(job_id)
+        if job is None or job.state in ENDED_STATES:
             continue
         for step in job.steps.values():
-            if step.occurrence in job.finished:
-                continue
-            unit = make_unit(cluster, job, step, now, wall_now)
-            if unit is not None:
-                units.append(unit)
-    units.sort(key=lambda unit: unit.order)
-    return units
+            if step.occurrence not in job.finished:
+                _queue_step(cluster, job, step, now, wall_now)
+    queue.units.sort(key=lambda unit: unit.order)
+    touched.clear()
+
+
+def _queue_step(
+    cluster: Cluster, job: Job, step: StepRun, now: float, wall_now: float
+) -> None:
+    unit = make_unit(cluster, job, step, now, wall_now)
+    if unit is None:
+        return
+    queue = cluster.queue
+    queue.units.append(unit)
+    queue.keys.setdefault(job.spec.id, set()).add(unit.key)
+    if wall_now <= unit.worthless_at and not unit.spec.is_long_running:
+        heappush(queue.expiries, (unit.worthless_at, job.spec.id))
 
 
 def make_unit(
@@ -60,14 +102,39 @@
     objective, last = find_objective(job, step.occurrence)
     is_worthless = wall_now > last and not step.spec.is_long_running
     queue = cluster.catalog.queue_by_name.get(job.spec.queue)
-    priority = queue.priority if queue else job.spec.priority
+    service = queue.service if queue else job.spec.service
+    priority = find_priority(cluster, job)
+    key: StepKey = (job.spec.id, step.occurrence, step.step)
+    ids = tuple(task.id for task in waiting)
     return Unit(
-        UnitKey(job.spec.id, step.occurrence, step.step, waiting[0].id.index),
+        key,
         step.spec,
-        tuple(task.id for task in waiting),
-        queue.service if queue else job.spec.service,
+        ids,
+        service,
         priority,
         job.spec.organisation,
         step.waiting_since,
-        (float(priority), float(is_worthless), objective),
+        last,
+        (priority, is_worthless, objective, job.sequence, *key[1:]),
+        make_shape(step.spec, service, priority, len(ids)),
+    )
+
+
+def make_shape(spec: StepSpec, service: str, priority: int, count: int) -> Shape | None:
+    """Return what the fit of a unit depends on, if this is the unit alone."""
+    if spec.max_per_worker:
+        return None
+    needs = find_needs(spec)
+    return Shape(
+        service,
+        spec.label,
+        spec.rack,
+        spec.is_same_rack,
+        spec.is_filler,
+        spec.target_ms > 0,
+        priority == URGENT_PRIORITY,
+        needs.cpu_millis,
+        needs.memory_mb,
+        needs.accelerators,
+        count if spec.is_gang else 1,
     )
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass, field
 
 from geraniumwell.model.batch.catalog import Catalog
-from geraniumwell.model.batch.job import Job, StepSpec, TaskId
+from geraniumwell.model.batch.job import Job, Task, TaskId
+from geraniumwell.model.batch.room import FleetIndex
+from geraniumwell.model.batch.unit import StepKey, UnitQueue
 from geraniumwell.model.batch.worker import Worker
 
 
@@ -38,6 +40,22 @@
         Jobs whose progress is not stored yet.
     early_cancels : set of str
         Cancelled jobs whose definition was not seen yet.
+    touched_workers, touched_jobs : set of str
+        Workers and jobs that have changed since the last round of planning.
+    unlooked : set of str
+        Workers for which it is to be decided whether they are looked at.
+    unsaved : set of str
+        Workers with ends whose effect is not stored yet.
+    stopping : dict
+        Tasks that a stop was ordered for.
+    broken : set of StepKey
+        Gangs that have lost a member.
+    unopened : set of str
+        Jobs with occurrences whose time has not come.
+    pending : dict
+        Queue of each job that has not begun, by the job's id.
+    taken_up : int
+        Number of jobs that were taken up so far.
     """
 
     epoch: int
@@ -47,6 +65,22 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
     early_cancels: set[str] = field(default_factory=set)
+    touched_workers: set[str] = field(default_factory=set)
+    touched_jobs: set[str] = field(default_factory=set)
+    unlooked: set[str] = field(default_factory=set)
+    unsaved: set[str] = field(default_factory=set)
+    stopping: dict[TaskId, Task] = field(default_factory=dict)
+    broken: set[StepKey] = field(default_factory=set)
+    unopened: set[str] = field(default_factory=set)
+    pending: dict[str, str] = field(default_factory=dict)
+    taken_up: int = 0
+    fleet: FleetIndex = field(default_factory=FleetIndex)
+    queue: UnitQueue = field(default_factory=UnitQueue)
+
+    def touch_worker(self, name: str) -> None:
+        """Note that a worker, or what runs there, has changed."""
+        self.touched_workers.add(name)
+        self.unlooked.add(name)
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,33 +104,3 @@
 
 
 Order = StartTask | StopTask
-
-
-@dataclass(slots=True, frozen=True)
-class UnitKey:
-    """A group of tasks that is placed at once: a gang, or one task."""
-
-    job: str
-    occurrence: int
-    step: int
-    index: int
-
-
-@dataclass(slots=True, frozen=True)
-class Unit:
-    """Tasks to be placed together, in the order of their urgency.
-
-    Parameters
-    ----------
-    ids : tuple of TaskId
-        The tasks; several only for a gang.
-    """
-
-    key: UnitKey
-    spec: StepSpec
-    ids: tuple[TaskId, ...]
-    service: str
-    priority: int
-    organisation: str
-    waiting_since: float
-    order: tuple[float, ...] = ()
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -181,6 +181,8 @@
         Whether any task was ever started.
     ended_at : float
         Unix time at which the job ended; 0 while it lasts.
+    sequence : int
+        Rises with each job that a scheduler takes up; settles ties.
     """
 
     spec: JobSpec
@@ -190,6 +192,7 @@
     opened: int = 0
     has_begun: bool = False
     ended_at: float = 0.0
+    sequence: int = 0
 
 
 def open_occurrence(job: Job, occurrence: int) -> None:
--- a/geraniumwell/queries/batch/status.py
+++ b/geraniumwell/queries/batch/status.py
@@ -1,5 +1,7 @@
 """Answers about jobs: their state, and how many have not begun."""
 
+from collections import Counter
+
 from geraniumwell.model.batch.cluster import Cluster
 from geraniumwell.model.batch.job import ENDED_STATES, Job, JobState
 
@@ -13,8 +15,4 @@
 
 def count_pending(cluster: Cluster) -> dict[str, int]:
     """Return the number of jobs that have not begun, by queue."""
-    pending: dict[str, int] = {}
-    for job in cluster.jobs.values():
-        if get_state(job) is JobState.QUEUED:
-            pending[job.spec.queue] = pending.get(job.spec.queue, 0) + 1
-    return pending
+    return dict(Counter(cluster.pending.values()))
--- a/tests/commands/batch/random_world.py
+++ b/tests/commands/batch/random_world.py
@@ -1,5 +1,6 @@
 """Workers on virtual time that lose calls, are cut off, restart and fail tasks."""
 
+from copy import deepcopy
 from dataclasses import dataclass, field
 from random import Random
 
@@ -16,8 +17,16 @@
 from geraniumwell.commands.batch.lifecycle import add_job
 from geraniumwell.commands.batch.planning import plan
 from geraniumwell.model.batch.cluster import Cluster, Order, StartTask, StopTask
-from geraniumwell.model.batch.job import ENDED_STATES, JobSpec, JobState, TaskId
+from geraniumwell.model.batch.job import (
+    ENDED_STATES,
+    JobSpec,
+    JobState,
+    Phase,
+    TaskId,
+)
 from geraniumwell.model.batch.resources import Resources
+from geraniumwell.model.batch.room import FleetIndex
+from geraniumwell.model.batch.unit import UnitQueue
 from geraniumwell.model.batch.worker import (
     EndedTask,
     EndKind,
@@ -96,6 +105,8 @@
     ----------
     done : dict
         How often each task has ended as done on a worker that was heard of it.
+    is_compared : bool
+        Whether each round is compared with one that counts everything anew.
     """
 
     random: Random
@@ -106,6 +117,7 @@
     done: dict[TaskId, int] = field(default_factory=dict)
     failures: dict[TaskId, int] = field(default_factory=dict)
     orders: list[Order] = field(default_factory=list)
+    is_compared: bool = False
 
     def run(self) -> None:
         """Play until all jobs have ended."""
@@ -117,6 +129,8 @@
             if self.now >= self.next_look:
                 self.next_look = self.now + LOOK_SECONDS
                 self._look()
+            if self.is_compared:
+                self._compare()
             self.orders += plan(self.cluster, self.now, WALL + self.now)
             self._deliver()
             self._check()
@@ -125,6 +139,15 @@
         states = {name: job.state for name, job in self.cluster.jobs.items()}
         raise AssertionError(f"jobs have not ended: {states}")
 
+    def _compare(self) -> None:
+        """Check that the kept indexes and fresh ones lead to the same orders."""
+        kept, fresh = deepcopy(self.cluster), deepcopy(self.cluster)
+        forget_indexes(fresh)
+        now = self.now
+        assert plan(kept, now, WALL + now) == plan(fresh, now, WALL + now), now
+        assert kept.fleet.pools == fresh.fleet.pools, now
+        assert kept.queue.units == fresh.queue.units, now
+
     def _make_trouble(self) -> None:
         for fake in self.fakes.values():
             if self.random.random() < 0.004:
@@ -187,6 +210,7 @@
                 if self.random.random() < 0.5:
                     fake.extend(deadline, self.now)
                 note_silence(worker, self.now)
+                self.cluster.touch_worker(name)
                 continue
             fake.extend(deadline, self.now)
             self._report(worker, fake)
@@ -270,6 +294,31 @@
             assert CAPACITY.holds(used), f"{fake.name} is over its capacity: {used}"
 
 
+def forget_indexes(cluster: Cluster) -> None:
+    """Let the next round count all workers and jobs anew."""
+    steps = [
+        ((job.spec.id, *key), step)
+        for job in cluster.jobs.values()
+        for key, step in job.steps.items()
+    ]
+    cluster.fleet, cluster.queue = FleetIndex(), UnitQueue()
+    cluster.touched_workers = set(cluster.workers)
+    cluster.touched_jobs = set(cluster.jobs)
+    cluster.broken = {key for key, step in steps if step.broken_at}
+    # The order of repeated stops is that in which they were given.
+    known = list(cluster.stopping)
+    cluster.stopping = {
+        task.id: task
+        for _, step in steps
+        for task in step.tasks
+        if task.phase is Phase.STOPPING and task.stopped_at is not None
+    }
+    assert set(cluster.stopping).issubset(known)
+    cluster.stopping = {
+        key: cluster.stopping[key] for key in known if key in cluster.stopping
+    }
+
+
 def make_world(seed: int) -> World:
     """Return a world with jobs of several kinds."""
     random = Random(seed)
--- a/tests/commands/batch/random_world_steps.py
+++ b/tests/commands/batch/random_world_steps.py
@@ -11,6 +11,11 @@
     context.world = make_world(seed)
 
 
+@given("each round is compared with one that counts everything anew")
+def step_compared(context: Context) -> None:
+    context.world.is_compared = True
+
+
 @when("it is played to its end")
 def step_play(context: Context) -> None:
     context.world.run()
