Let large gangs use held workers while most of the fleet is idle

Cause: 16% of the workers are held for urgent work. Conclusion: bounded while the fleet is mostly idle; under more load large gangs may still wait long.

--- a/geraniumwell/commands/batch/indexing.py
+++ b/geraniumwell/commands/batch/indexing.py
@@ -92,6 +92,7 @@
         if pool.rooms.get(entry.id) is not room:
             continue
         del pool.rooms[entry.id]
+        pool.accelerators -= room.accelerators
         _unshelve(pool, room)
         for rack, names in list(pool.idle.items()):
             names.discard(entry.id)
@@ -105,6 +106,7 @@
     pool = fleet.pools.setdefault(worker.entry.service, Pool())
     name = worker.entry.id
     pool.rooms[name] = room
+    pool.accelerators += room.accelerators
     room.is_held = name in pool.held_names
     _shelve(pool, room)
     if not worker.tasks and worker.state is WorkerState.READY:
--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from geraniumwell.commands.batch.priorities import URGENT_PRIORITY
 from geraniumwell.commands.batch.room import (
     count_fitting,
     find_needs,
@@ -33,20 +32,25 @@
     return room.later
 
 
-def place_now(pool: Pool, unit: Unit, is_far_allowed: Callable[[], bool]) -> Placement:
+def place_now(
+    pool: Pool, unit: Unit, may_use_held: bool, is_far_allowed: Callable[[], bool]
+) -> Placement:
     """Return where the tasks of a unit start; empty if they can't.
 
     Parameters
     ----------
+    may_use_held : bool
+        Whether the workers that are held for urgent work may be used.
     is_far_allowed : callable
         Tells whether tasks may run away from the rack where they run fastest; asked
         only where it matters.
     """
-    if not may_fit(pool, unit):
+    shelves = [pool.open, pool.held] if may_use_held else [pool.open]
+    if not may_fit(shelves, unit):
         return []
     if not unit.spec.rack and not unit.spec.is_same_rack:
-        return fill(iterate_fitting(pool, unit), unit)
-    fitting = list(iterate_fitting(pool, unit))
+        return fill(iterate_fitting(shelves, unit), unit)
+    fitting = list(iterate_fitting(shelves, unit))
     return choose_near(fitting, unit) or (
         fill(fitting, unit) if is_far_allowed() else []
     )
@@ -86,14 +90,7 @@
     return bool(place_in_one_rack(find_fitting(rooms, unit, get_capacity), unit))
 
 
-def list_shelves(pool: Pool, unit: Unit) -> list[Shelves]:
-    """Return the rooms that a unit may use."""
-    if unit.priority == URGENT_PRIORITY:
-        return [pool.open, pool.held]
-    return [pool.open]
-
-
-def may_fit(pool: Pool, unit: Unit) -> bool:
+def may_fit(shelves: list[Shelves], unit: Unit) -> bool:
     """Tell whether the free accelerators could hold a unit.
 
     It is a bound that takes no look at single workers.
@@ -102,16 +99,15 @@
     left = len(unit.ids) if unit.spec.is_gang else 1
     if not wanted:
         return True
-    for shelves in list_shelves(pool, unit):
-        for free, rooms in shelves.items():
+    for shelf in shelves:
+        for free, rooms in shelf.items():
             if free >= wanted:
                 left -= len(rooms) * (free // wanted)
     return left <= 0
 
 
-def iterate_fitting(pool: Pool, unit: Unit) -> Iterator[tuple[Room, int]]:
+def iterate_fitting(shelves: list[Shelves], unit: Unit) -> Iterator[tuple[Room, int]]:
     """Yield the workers on which tasks of a unit fit now, the fullest first."""
-    shelves = list_shelves(pool, unit)
     levels = sorted({free for shelf in shelves for free in shelf})
     for free in levels:
         if free < unit.spec.needs.accelerators:
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -4,6 +4,7 @@
 
 from geraniumwell.commands.batch.ends import note_broken
 from geraniumwell.commands.batch.evacuation import evacuate
+from geraniumwell.commands.batch.headroom import may_use_held
 from geraniumwell.commands.batch.health import note_stall
 from geraniumwell.commands.batch.indexing import refresh_fleet, take_room
 from geraniumwell.commands.batch.leases import find_lapsed
@@ -57,13 +58,15 @@
 
     Parameters
     ----------
-    unfit, unevictable : set of Shape
-        Shapes that fit nowhere, now or after stops of other work.
+    unfit : set
+        Shapes that fit nowhere now, and whether the held workers were tried too.
+    unevictable : set of Shape
+        Shapes that fit nowhere after stops of other work either.
     near : dict
         Whether empty workers could hold a shape where it runs fastest.
     """
 
-    unfit: set[Shape] = field(default_factory=set)
+    unfit: set[tuple[Shape, bool]] = field(default_factory=set)
     unevictable: set[Shape] = field(default_factory=set)
     near: dict[Shape, bool] = field(default_factory=dict)
 
@@ -155,9 +158,7 @@
         if pool is None:
             continue
         is_reclaiming = is_guaranteed(cluster, unit, use)
-        found: Placement = []
-        if unit.shape not in attempts.unfit:
-            found = try_now(pool, unit, is_reclaiming, attempts, now)
+        found = try_now(pool, unit, is_reclaiming, attempts, now)
         if found:
             orders += start_unit(cluster, unit, found, now)
             if unit.priority == URGENT_PRIORITY:
@@ -172,6 +173,9 @@
     pool: Pool, unit: Unit, is_reclaiming: bool, attempts: Attempts, now: float
 ) -> Placement:
     """Return where a unit starts now; remember shapes that fit nowhere."""
+    may_hold = may_use_held(pool, unit, now)
+    if (unit.shape, may_hold) in attempts.unfit:
+        return []
     was_near_wanted = False
 
     def is_far() -> bool:
@@ -180,10 +184,10 @@
         was_near_wanted = not allowed
         return allowed
 
-    found = place_now(pool, unit, is_far)
+    found = place_now(pool, unit, may_hold, is_far)
     # A unit that only waits for its rack says nothing about others of its shape.
     if not found and not was_near_wanted and unit.shape is not None:
-        attempts.unfit.add(unit.shape)
+        attempts.unfit.add((unit.shape, may_hold))
     return found
 
 
--- a/geraniumwell/commands/batch/room.py
+++ b/geraniumwell/commands/batch/room.py
@@ -35,7 +35,8 @@
 def make_room(cluster: Cluster, worker: Worker) -> Room:
     """Return the room of one worker."""
     capacity = worker.entry.capacity
-    room = Room(worker, capacity.copy(), capacity.copy(), capacity.copy())
+    amounts = (capacity.copy() for _ in range(3))
+    room = Room(worker, *amounts, capacity.accelerators)
     for task in worker.tasks.values():
         job = cluster.jobs[task.id.job]
         spec = job.spec.steps[task.id.step]
--- a/geraniumwell/model/batch/room.py
+++ b/geraniumwell/model/batch/room.py
@@ -18,6 +18,8 @@
         What will be free when the tasks that are being stopped have ended.
     evictable : Resources
         What would be free if all tasks that may be stopped for urgent work ended.
+    accelerators : int
+        Accelerators of the worker, in use or not.
     urgent : dict
         Accelerators in urgent use, by organisation.
     has_fillers, has_servers : bool
@@ -32,6 +34,7 @@
     free: Resources
     later: Resources
     evictable: Resources
+    accelerators: int = 0
     urgent: dict[str, int] = field(default_factory=dict)
     has_fillers: bool = False
     has_servers: bool = False
@@ -57,6 +60,8 @@
         The workers whose rooms are held.
     is_stale : bool
         Whether the choice of held workers has to be made anew.
+    accelerators : int
+        Accelerators of all these workers, in use or not.
     """
 
     rooms: dict[str, Room] = field(default_factory=dict)
@@ -65,6 +70,7 @@
     idle: dict[str, set[str]] = field(default_factory=dict)
     held_names: frozenset[str] = frozenset()
     is_stale: bool = False
+    accelerators: int = 0
 
 
 @dataclass(slots=True)
