Keep one live timer for rounds and renewals, so that timers don't pile up

Cause: each round of planning left a timer that was set again for ever when it fired before the next round, and a timer that fired a hair early was set for the exact rest again. Ruled out: requests themselves (they set a timer only when the due time moves forward). Change: DueTimer knows which timers are set and sets none that another one makes needless; the shortest one is 1 ms. Renewals use it too: a change that came while a renewal was awaited had no timer of its own.

--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -44,7 +44,7 @@
 )
 from geraniumwell.commands.batch.planning import plan
 from geraniumwell.commands.batch.registry import forget_gone_workers
-from geraniumwell.commands.batch.rounds import RoundTimer
+from geraniumwell.commands.batch.rounds import DueTimer, RoundTimer
 from geraniumwell.const import JOB_PARTS, PART_SCHEDULE, TABLE_JOBS, TABLE_PROGRESS
 from geraniumwell.helpers.batch_lines import group_ends, group_orders
 from geraniumwell.helpers.batch_metrics import (
@@ -114,7 +114,7 @@
         self._is_ended = False
         self._rounds = RoundTimer()
         self._cleaned_at = 0.0
-        self._is_renewal_due = False
+        self._renewal = DueTimer()
         self._feeds: list[ActorRef] = []
         self._ends = EndReporter()
         self._fleet = Fleet(claim.row.epoch, self.actor_ref, parts.make_worker)
@@ -169,7 +169,7 @@
             case Tick("plan"):
                 self._plan_if_due()
             case Tick("renew"):
-                self._is_renewal_due = False
+                self._renewal.fire(steady_seconds())
             case Tick("resend"):
                 self._resend()
             case JobsSwept(ids):
@@ -263,9 +263,8 @@
         if now >= due:
             flight = begin(journal, self._cluster, now)
             tell(self._store, CommitRows(flight.row.counter, flight.transaction))
-        elif not self._is_renewal_due:
-            self._is_renewal_due = True
-            self._tick_after(due - now, "renew")
+        elif (wait := self._renewal.ask(due, now)) is not None:
+            self._tick_after(wait, "renew")
 
     def _resend(self) -> None:
         """Send the transaction in flight again, because it got no answer."""
--- a/geraniumwell/commands/batch/rounds.py
+++ b/geraniumwell/commands/batch/rounds.py
@@ -1,47 +1,87 @@
-"""When the next round of planning is due."""
+"""When the next round of planning, or the next renewal, is due."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from math import inf
 
 # Messages that come closer together share a round of planning.
 PLAN_GAP_SECONDS = 0.02
 # Longest time between rounds; leases lapse and stops are repeated without messages.
 PLAN_IDLE_SECONDS = 0.25
+# A timer that fires early is set again for this time at least. Timers count by another
+# clock than the decisions do, and with the exact rest it could fire early for ever.
+SHORTEST_TIMER_SECONDS = 0.001
 
 
 @dataclass(slots=True)
-class RoundTimer:
-    """Due time of the next round, and the time of the last one.
+class DueTimer:
+    """Due time of one action, and the timers that are set for it.
+
+    A timer can't be taken back, so one that fires too early is set again only where no
+    other will fire in time. Otherwise timers would pile up with each change.
 
-    A timer may fire early, because it counts by another clock than the decisions do.
-    It is then set again: a round that is due must never be left without a timer.
+    Parameters
+    ----------
+    due : float
+        Time at which the action is due; infinite if it is not asked for.
+    pending : list
+        Heap of the times at which the set timers fire.
     """
 
     due: float = inf
+    pending: list[float] = field(default_factory=list)
+
+    def ask(self, due: float, now: float) -> float | None:
+        """Ask for the action at ``due`` at the latest; return the timer to be set."""
+        self.due = min(self.due, due)
+        return self._set(now)
+
+    def fire(self, now: float) -> bool:
+        """Note that a timer has fired; tell whether the action is due."""
+        if self.pending:
+            heappop(self.pending)
+        if now < self.due:
+            return False
+        self.due = inf
+        return True
+
+    def find_left(self, now: float) -> float | None:
+        """Return the timer to be set after one that fired early, if there is any."""
+        return self._set(now)
+
+    def _set(self, now: float) -> float | None:
+        if self.due == inf or (self.pending and self.pending[0] <= self.due):
+            return None
+        wait = max(self.due - now, SHORTEST_TIMER_SECONDS)
+        heappush(self.pending, now + wait)
+        return wait
+
+
+@dataclass(slots=True)
+class RoundTimer:
+    """Timer of planning: rounds keep a gap, and come after the idle time at least.
+
+    A round that is due must never be left without a timer.
+    """
+
+    timer: DueTimer = field(default_factory=DueTimer)
     planned_at: float = -inf
 
     def request(self, now: float) -> float | None:
         """Ask for a round soon; return the time until the timer, if it is to be set."""
-        return self._set(max(now, self.planned_at + PLAN_GAP_SECONDS), now)
+        return self.timer.ask(max(now, self.planned_at + PLAN_GAP_SECONDS), now)
 
     def begin(self, now: float) -> bool:
         """Begin a round if one is due, and tell whether it has begun."""
-        if now < self.due:
+        if not self.timer.fire(now):
             return False
-        self.due = inf
         self.planned_at = now
         return True
 
     def find_left(self, now: float) -> float | None:
-        """Return the time until a round that is not due yet; None if there is none."""
-        return None if self.due == inf else self.due - now
+        """Return the time until a round that is not due yet; None if none is needed."""
+        return self.timer.find_left(now)
 
     def rest(self, now: float) -> float | None:
         """Ask for the next round after the idle time."""
-        return self._set(now + PLAN_IDLE_SECONDS, now)
-
-    def _set(self, due: float, now: float) -> float | None:
-        if due >= self.due:
-            return None
-        self.due = due
-        return due - now
+        return self.timer.ask(now + PLAN_IDLE_SECONDS, now)
--- a/tests/commands/batch/rounds_steps.py
+++ b/tests/commands/batch/rounds_steps.py
@@ -1,5 +1,7 @@
 """Steps of the timer of planning."""
 
+from heapq import heappop, heappush
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -45,3 +47,39 @@
 def step_not_begun(context: Context) -> None:
     assert not context.has_begun
     assert context.left is None, context.left
+
+
+@when("rounds are asked for {count:d} times, each {gap:g} seconds after the last")
+def step_busy(context: Context, count: int, gap: float) -> None:
+    """Fire each timer at its time, as the ticker does."""
+    context.timer, timers = RoundTimer(), []
+    context.fired = context.begun = 0
+    context.most = 0
+    now = 10.0
+    for _ in range(count):
+        now += gap
+        while timers and timers[0] <= now:
+            at = heappop(timers)
+            context.fired += 1
+            if context.timer.begin(at):
+                context.begun += 1
+                wait = context.timer.rest(at)
+            else:
+                wait = context.timer.find_left(at)
+            if wait is not None:
+                heappush(timers, at + wait)
+        wait = context.timer.request(now)
+        if wait is not None:
+            heappush(timers, now + wait)
+        context.most = max(context.most, len(timers))
+
+
+@then("at most {most:d} timers were set at the same time")
+def step_most(context: Context, most: int) -> None:
+    assert context.most <= most, context.most
+
+
+@then("at least {begun:d} rounds began, with at most {fired:d} timers")
+def step_fired(context: Context, begun: int, fired: int) -> None:
+    assert context.begun >= begun, context.begun
+    assert context.fired <= fired, context.fired
