Count a claim from the answer that showed it, prefer strong VMs, and keep vital actors alive

Cause: (1) The elector took the time before a reading as the time at which a leader row was new. After a slow reading another daemon could claim 0.25 s after a renewal, while the holder's orders count for 0.85 s. (2) Stops went out after the claim had run out; only starts and looks were checked. (3) An unexpected error, or one row of a daemon that could not be read, ended the watch of the claim, of the configuration or of the peers for good, and the daemon looked alive. (4) The claim went to any VM, although the scheduling daemon needs several times the processor of the others. Ruled out: the claim itself (it is conditional on the row's version); the holder's side (it counts from the sending). Change: changed_at is the time of the answer. SendStop carries a time limit like SendStart; a stop that was not sent is repeated. LastingActor logs and counts an unexpected error and goes on. A VM with less than half of the strongest known processor leaves a free claim to others for 0.35 s; rows of daemons carry their cores.

--- a/geraniumwell/actors/batch/catalog_keeper.py
+++ b/geraniumwell/actors/batch/catalog_keeper.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from pykka import ActorRef, ThreadingActor
+from pykka import ActorRef
 
+from geraniumwell.actors.batch.lasting_actor import LastingActor
 from geraniumwell.actors.batch.telling import tell
 from geraniumwell.codec.json import CodecError
 from geraniumwell.helpers.events import EVENTS
@@ -24,7 +25,7 @@
 READY_CONTACT_SECONDS = 3.0
 
 
-class CatalogKeeper(ThreadingActor):
+class CatalogKeeper(LastingActor):
     """Moves to each higher version of the configuration, never to a lower one.
 
     Parameters
@@ -35,8 +36,6 @@
         Returns the configuration in the bytes of the row; raises CodecError.
     """
 
-    use_daemon_thread = True
-
     def __init__(self, key: str, decode: Callable[[bytes], Catalog]) -> None:
         super().__init__()
         self._key = key
@@ -46,7 +45,7 @@
         self._is_silent = True
         self._subscribers: list[ActorRef] = []
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case TableReset(_, rows) | TableChanged(_, rows):
--- a/geraniumwell/actors/batch/elector.py
+++ b/geraniumwell/actors/batch/elector.py
@@ -2,8 +2,9 @@
 
 from typing import Any
 
-from pykka import ActorRef, ThreadingActor
+from pykka import ActorRef
 
+from geraniumwell.actors.batch.lasting_actor import LastingActor
 from geraniumwell.actors.batch.parts import SchedulerParts
 from geraniumwell.actors.batch.scheduler import Scheduler
 from geraniumwell.actors.batch.telling import tell
@@ -15,11 +16,13 @@
     TableTransaction,
     find_row,
 )
+from geraniumwell.clients.table_relay import PeerDirectory
 from geraniumwell.codec.batch import decode_leader, encode_leader
 from geraniumwell.codec.json import CodecError
 from geraniumwell.commands.batch.leadership import (
     WATCH_SECONDS,
     Observation,
+    find_delay,
     make_claim,
     may_claim,
     observe,
@@ -40,19 +43,29 @@
 from geraniumwell.util.clock import steady_seconds
 
 
-class Elector(ThreadingActor):
+class Elector(LastingActor):
     """Watches the claim of the scheduling daemon and claims it when it is free.
 
     Parameters
     ----------
     holder : str
         Name of this daemon, different at each start.
+    directory : PeerDirectory
+        Knows the processor of the strongest VM.
+    cores : float
+        Processor of this VM, in cores.
     """
 
-    use_daemon_thread = True
-
-    def __init__(self, holder: str, parts: SchedulerParts) -> None:
+    def __init__(
+        self,
+        holder: str,
+        parts: SchedulerParts,
+        directory: PeerDirectory,
+        cores: float,
+    ) -> None:
         super().__init__()
+        self._directory = directory
+        self._cores = cores
         self._holder = holder
         self._parts = parts
         self._client = parts.make_store()
@@ -72,12 +85,15 @@
         if self._scheduler is not None:
             self._scheduler.stop(block=False)
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Handle one message."""
         match message:
             case Tick():
-                self._watch()
-                self._parts.ticker.tick_after(WATCH_SECONDS, self.actor_ref, "watch")
+                try:
+                    self._watch()
+                finally:
+                    ticker = self._parts.ticker
+                    ticker.tick_after(WATCH_SECONDS, self.actor_ref, "watch")
             case CatalogChanged(catalog):
                 self._catalog = catalog
                 if self._scheduler is not None:
@@ -112,10 +128,14 @@
             self._step_down(self._epoch, "it has ended without a word")
         if self._scheduler is not None or self._catalog is None:
             return
+        # The claim counts from before the calls, what was read from after the answer.
         now = steady_seconds()
         try:
-            self._read(now)
-            if not self._is_retiring and may_claim(self._seen, self._holder, now):
+            self._read()
+            delay = find_delay(self._cores, self._directory.best_cores)
+            if not self._is_retiring and may_claim(
+                self._seen, self._holder, now, delay
+            ):
                 self._claim(now)
         except StoreError as exc:
             if not self._is_blind:
@@ -126,8 +146,9 @@
             EVENTS.write("claim_readable", version=self._seen.version)
         self._is_blind = False
 
-    def _read(self, now: float) -> None:
+    def _read(self) -> None:
         found = find_row(self._client, TABLE_CONTROL, LEADER_KEY, PART_SCHEDULE)
+        now = steady_seconds()
         if found is None:
             observe(self._seen, None, 0, now)
             return
--- a/geraniumwell/actors/batch/fleet.py
+++ b/geraniumwell/actors/batch/fleet.py
@@ -79,11 +79,11 @@
         deadline_ms = extend_lease(worker, cluster.policy, now)
         tell(self._order_link(worker), SendStart(order, deadline_ms, send_by))
 
-    def send_stop(self, cluster: Cluster, order: StopTask) -> None:
+    def send_stop(self, cluster: Cluster, order: StopTask, send_by: float) -> None:
         """Send a stop, if the worker's address is known."""
         worker = cluster.workers.get(order.worker)
         if worker is not None and worker.entry.address:
-            tell(self._order_link(worker), SendStop(order))
+            tell(self._order_link(worker), SendStop(order, send_by))
 
     def look_at_due(self, cluster: Cluster, valid_until: float, now: float) -> None:
         """Look at each worker that needs it, of those for which that may be new."""
--- /dev/null
+++ b/geraniumwell/actors/batch/lasting_actor.py
@@ -0,0 +1,37 @@
+"""Base of the actors that a daemon can't do without."""
+
+from typing import Any
+
+from pykka import ThreadingActor
+
+from geraniumwell.helpers.batch_metrics import MESSAGE_FAILURES
+from geraniumwell.helpers.events import EVENTS
+
+
+class LastingActor(ThreadingActor):
+    """Goes on after an unexpected error, which costs only the message at hand.
+
+    The actor library ends an actor at an error. A daemon whose configuration or claim
+    is no longer watched would look alive and do nothing.
+    """
+
+    use_daemon_thread = True
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message; log and count an unexpected error."""
+        try:
+            return self.handle(message)
+        except Exception as exc:
+            name = type(self).__name__
+            MESSAGE_FAILURES.labels(name).inc()
+            EVENTS.write(
+                "message_failed",
+                actor=name,
+                message=type(message).__name__,
+                detail=f"{type(exc).__name__}: {exc}",
+            )
+            return None
+
+    def handle(self, message: Any) -> Any:
+        """Handle one message; each actor has its own way."""
+        raise NotImplementedError
--- a/geraniumwell/actors/batch/peer_keeper.py
+++ b/geraniumwell/actors/batch/peer_keeper.py
@@ -3,49 +3,52 @@
 from random import Random
 from typing import Any
 
-from pykka import ThreadingActor
-
+from geraniumwell.actors.batch.lasting_actor import LastingActor
 from geraniumwell.actors.ticker import Ticker
 from geraniumwell.clients.table import (
     RowWrite,
+    StoredRow,
     StoreError,
     TableClient,
     TableTransaction,
     read_all,
 )
 from geraniumwell.clients.table_relay import PeerDirectory
+from geraniumwell.codec.batch import decode_peer, encode_peer
+from geraniumwell.codec.json import CodecError
 from geraniumwell.const import PART_DAEMONS, TABLE_DAEMONS
-from geraniumwell.helpers.batch_metrics import PEERS
+from geraniumwell.helpers.batch_metrics import PEERS, UNREADABLE
 from geraniumwell.helpers.events import EVENTS
 from geraniumwell.messages.serving import Tick
+from geraniumwell.model.batch.peer import Peer
 
 # A daemon that starts at another address is known to the others within this time.
 REFRESH_SECONDS = 4.0
 RETRY_SECONDS = 0.5
 
 
-class PeerKeeper(ThreadingActor):
+class PeerKeeper(LastingActor):
     """Writes this daemon's address to the store and reads those of the others.
 
     Parameters
     ----------
-    vm, address : str
-        Name and relay address of this daemon.
+    vm : str
+        Name of this daemon's VM.
+    peer : Peer
+        Relay address and processor of this daemon.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         vm: str,
-        address: str,
+        peer: Peer,
         client: TableClient,
         directory: PeerDirectory,
         ticker: Ticker,
     ) -> None:
         super().__init__()
         self._vm = vm
-        self._address = address
+        self._peer = peer
         self._client = client
         self._directory = directory
         self._ticker = ticker
@@ -57,25 +60,31 @@
         """Begin to refresh."""
         self.actor_ref.tell(Tick("refresh"))
 
-    def on_receive(self, message: Any) -> None:
+    def handle(self, message: Any) -> None:
         """Handle one message."""
         match message:
             case Tick():
-                wait = REFRESH_SECONDS if self._refresh() else RETRY_SECONDS
-                self._ticker.tick_after(wait, self.actor_ref, "refresh")
+                wait = RETRY_SECONDS
+                try:
+                    if self._refresh():
+                        wait = REFRESH_SECONDS
+                finally:
+                    self._ticker.tick_after(wait, self.actor_ref, "refresh")
 
     def _refresh(self) -> bool:
         """Read the addresses; return whether there are any."""
         try:
             if not self._is_written:
-                write = RowWrite(TABLE_DAEMONS, self._vm, self._address.encode())
+                write = RowWrite(TABLE_DAEMONS, self._vm, encode_peer(self._peer))
                 self._client.commit(TableTransaction((), (write,), part=PART_DAEMONS))
                 self._is_written = True
             rows = read_all(self._client, TABLE_DAEMONS, PART_DAEMONS).rows
         except StoreError as exc:
             EVENTS.write("peers_unreadable", code=exc.code)
             return False
-        found = {row.value.decode() for row in rows if row.key != self._vm}
+        peers = [peer for row in rows if (peer := self._read_peer(row)) is not None]
+        found = {peer.address for peer in peers}
+        self._directory.best_cores = max((peer.cores for peer in peers), default=0.0)
         # Peers that are known keep their order, which tells who has answered.
         known = [a for a in self._directory.addresses if a in found]
         new = sorted(found.difference(known))
@@ -86,3 +95,14 @@
         PEERS.set(len(found))
         # Daemons start together, so a first reading may find none.
         return bool(found)
+
+    def _read_peer(self, row: StoredRow) -> Peer | None:
+        """Return the daemon that a row names, if it is another one."""
+        if row.key == self._vm:
+            return None
+        try:
+            return decode_peer(row.value)
+        except CodecError as exc:
+            UNREADABLE.labels("peer").inc()
+            EVENTS.write("row_unreadable", kind="peer", key=row.key, detail=str(exc))
+            return None
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -340,7 +340,8 @@
                     self._journal.orders.append(order)
                 case StopTask():
                     stops.append(order)
-                    self._fleet.send_stop(self._cluster, order)
+                    valid_until = self._journal.valid_until
+                    self._fleet.send_stop(self._cluster, order, valid_until)
         for fields in group_orders(stops):
             EVENTS.write("stop", **fields)
 
--- a/geraniumwell/actors/batch/store_probe.py
+++ b/geraniumwell/actors/batch/store_probe.py
@@ -2,8 +2,7 @@
 
 from typing import Any
 
-from pykka import ThreadingActor
-
+from geraniumwell.actors.batch.lasting_actor import LastingActor
 from geraniumwell.actors.ticker import Ticker
 from geraniumwell.clients.table import StoreError, TableClient
 from geraniumwell.clients.table_relay import StoreHealth
@@ -16,7 +15,7 @@
 PROBE_SECONDS = 0.15
 
 
-class StoreProbe(ThreadingActor):
+class StoreProbe(LastingActor):
     """Reads one row again and again while neither way to the store works.
 
     Parameters
@@ -25,8 +24,6 @@
         Calls the store itself, with a short time limit.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self, client: TableClient, health: StoreHealth, ticker: Ticker
     ) -> None:
@@ -44,7 +41,7 @@
         """Close the connection."""
         self._client.close()
 
-    def on_receive(self, message: Any) -> None:
+    def handle(self, message: Any) -> None:
         """Handle one message."""
         match message:
             case StoreLost() if not self._is_probing:
--- a/geraniumwell/actors/batch/worker_links.py
+++ b/geraniumwell/actors/batch/worker_links.py
@@ -57,6 +57,9 @@
         return StartAnswered(order, answer)
 
     def _stop(self, message: SendStop) -> StopAnswered | StopLost:
+        # It is repeated once the claim is valid again.
+        if steady_seconds() >= message.send_by:
+            return StopLost(message.order, CODE_TOO_LATE)
         try:
             self._client.stop(self._epoch, message.order)
         except TaskWorkerError as exc:
--- a/geraniumwell/clients/table_relay.py
+++ b/geraniumwell/clients/table_relay.py
@@ -45,12 +45,19 @@
 
 
 class PeerDirectory:
-    """Addresses of the other daemons; replaced as a whole by their keeper."""
+    """Addresses of the other daemons; replaced as a whole by their keeper.
 
-    __slots__ = ("_channels", "addresses")
+    Parameters
+    ----------
+    best_cores : float
+        Processor of the strongest of their VMs, in cores; 0 while none is known.
+    """
+
+    __slots__ = ("_channels", "addresses", "best_cores")
 
     def __init__(self) -> None:
         self.addresses: tuple[str, ...] = ()
+        self.best_cores = 0.0
         self._channels: dict[str, Channel] = {}
 
     def prefer(self, address: str) -> None:
--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -19,6 +19,7 @@
     open_occurrence,
 )
 from geraniumwell.model.batch.leader import LeaderRow
+from geraniumwell.model.batch.peer import Peer
 
 # Rows are small and written often, so speed goes before size.
 COMPRESSION_LEVEL = 1
@@ -72,6 +73,22 @@
     return _unpack(data, LeaderRow)
 
 
+def encode_peer(peer: Peer) -> bytes:
+    """Return the row of a daemon."""
+    return _pack(peer)
+
+
+def decode_peer(data: bytes) -> Peer:
+    """Return the daemon that a row names.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    return _unpack(data, Peer)
+
+
 def encode_progress(job: Job) -> bytes:
     """Return the row of a job's progress; ended jobs keep only their state."""
     head = [job.state.value, job.has_begun, job.ended_at, job.opened]
--- a/geraniumwell/commands/batch/leadership.py
+++ b/geraniumwell/commands/batch/leadership.py
@@ -11,6 +11,12 @@
 CLAIM_AFTER_SECONDS = 1.1
 RENEW_SECONDS = 0.25
 WATCH_SECONDS = 0.25
+# A weak VM leaves a free claim to a stronger one for this time, which is a little more
+# than one look of the stronger one takes.
+WEAK_DELAY_SECONDS = 0.35
+# A VM with less than this share of the strongest one's processor counts as weak. The
+# scheduling daemon needs several times the processor time of the others.
+WEAK_SHARE = 0.5
 # Separates the name of a VM from that of its process.
 PROCESS_MARK = "/"
 
@@ -24,19 +30,22 @@
     version : int
         Version of the row in the store; 0 while there is none.
     changed_at : float
-        Time at which the present content was first seen.
+        Time at which the answer came that first showed the present content. The
+        content may be as new as that, so an earlier time would end the claim of a
+        holder whose orders still count.
     """
 
     row: LeaderRow | None = None
     version: int = 0
     changed_at: float = 0.0
+    is_read: bool = False
 
 
 def observe(seen: Observation, row: LeaderRow | None, version: int, now: float) -> None:
-    """Note a reading of the leader row."""
-    if version != seen.version or seen.row is None:
+    """Note a reading of the leader row, whose answer came at ``now``."""
+    if version != seen.version or not seen.is_read:
         seen.changed_at = now
-    seen.row, seen.version = row, version
+    seen.row, seen.version, seen.is_read = row, version, True
 
 
 def make_holder(vm: str, process: str) -> str:
@@ -44,16 +53,33 @@
     return f"{vm}{PROCESS_MARK}{process}"
 
 
-def may_claim(seen: Observation, holder: str, now: float) -> bool:
-    """Tell whether the claim is free, or its holder has ended or fallen silent."""
+def find_delay(cores: float, best_cores: float) -> float:
+    """Return how long a VM leaves a free claim to others, in seconds.
+
+    Parameters
+    ----------
+    cores, best_cores : float
+        Processor of this VM and of the strongest known one, in cores.
+    """
+    return WEAK_DELAY_SECONDS if cores < WEAK_SHARE * best_cores else 0.0
+
+
+def may_claim(seen: Observation, holder: str, now: float, delay: float = 0.0) -> bool:
+    """Tell whether the claim is free, or its holder has ended or fallen silent.
+
+    Parameters
+    ----------
+    delay : float
+        Time for which this daemon leaves a free claim to others, in seconds.
+    """
     if seen.row is None or not seen.row.holder:
-        return True
+        return now - seen.changed_at >= delay
     vm, _, process = holder.partition(PROCESS_MARK)
     before, _, earlier = seen.row.holder.partition(PROCESS_MARK)
     # A VM runs one process, so the earlier one has ended.
     if vm == before and process != earlier:
         return True
-    return now - seen.changed_at >= CLAIM_AFTER_SECONDS
+    return now - seen.changed_at >= CLAIM_AFTER_SECONDS + delay
 
 
 def make_claim(seen: Observation, holder: str) -> LeaderRow:
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -45,6 +45,11 @@
     ("priority",),
     buckets=(0.5, 1, 2, 4, 8, 16, 32, 64, 128, 512),
 )
+MESSAGE_FAILURES = Counter(
+    "geraniumwell_batch_message_failures",
+    "Messages that ended in an unexpected error, by actor.",
+    ("actor",),
+)
 UNREADABLE = Counter(
     "geraniumwell_batch_rows_unreadable",
     "Rows of other writers that were left out, by what they should hold.",
--- a/geraniumwell/messages/batch.py
+++ b/geraniumwell/messages/batch.py
@@ -229,9 +229,10 @@
 
 @dataclass(slots=True, frozen=True)
 class SendStop:
-    """Ask a link for a stop."""
+    """Ask a link for a stop; not after ``send_by``."""
 
     order: StopTask
+    send_by: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -38,6 +38,7 @@
     Retire,
 )
 from geraniumwell.model.batch.cluster import BatchPolicy
+from geraniumwell.model.batch.peer import Peer
 from geraniumwell.platform.decode import decode_catalog, decode_entry
 from geraniumwell.platform.front import FrontApp
 from geraniumwell.platform.settings import (
@@ -136,6 +137,7 @@
         os.set_blocking(self.wake_fd, False)
         self._ticker = Ticker()
         keeper = CatalogKeeper.start(KEY_CONFIG, decode_catalog)
+        cores = cfg.processor_share * cfg.core_speed
         directory, health, timer = PeerDirectory(), StoreHealth(), CallTimer()
         parts = make_parts(cfg, self._ticker, directory, health, timer)
         StoreProbe.start(
@@ -143,7 +145,7 @@
         )
         PeerKeeper.start(
             cfg.vm,
-            cfg.relay,
+            Peer(cfg.relay, cores),
             parts.make_store(),
             directory,
             self._ticker,
@@ -152,7 +154,7 @@
             cfg.relay, lambda: HttpTableClient(cfg.store, timer, LONGEST_SECONDS)
         )
         self._elector: ActorRef = Elector.start(
-            make_holder(cfg.vm, make_token_hex(4)), parts
+            make_holder(cfg.vm, make_token_hex(4)), parts, directory, cores
         )
         keeper.tell(CatalogSubscription(self._elector))
         feed = TableFeed.start(
--- a/geraniumwell/platform/settings.py
+++ b/geraniumwell/platform/settings.py
@@ -23,6 +23,10 @@
         Longest lease that a worker grants.
     far_factor : float
         How many times as long a task takes away from its rack.
+    processor_share : float
+        Share of a core that the VM gives.
+    core_speed : float
+        How many times as fast as a usual core it is.
     """
 
     vm: str
@@ -35,6 +39,8 @@
     lease_limit_ms: float = 10_000
     result_seconds: float = 120
     far_factor: float = 3
+    processor_share: float = 1.0
+    core_speed: float = 1.0
     log_level: str = "INFO"
 
 
--- /dev/null
+++ b/tests/actors/batch/elector.feature
@@ -0,0 +1,29 @@
+Feature: The claim passes to one daemon at a time, and the watch of it goes on
+
+  Scenario: A claim that was read from a slow store is counted from the answer
+    The row may have been renewed just before the answer. Counted from the call, another
+    daemon claimed while the holder's orders still went out.
+
+    Given a store that answers the first reading after 0.9 seconds
+    And "b/1" holds the claim and renews it during the first reading
+    When "a" watches the claim
+    Then it claims no sooner than 1.1 seconds after the renewal
+
+  Scenario: An unexpected error does not end the watch of the claim
+    The daemon would look alive and never schedule again.
+
+    Given a store whose next 2 readings end in an unexpected error
+    When "a" watches the claim
+    Then it claims
+
+  Scenario: A row that names no daemon does not end the search for peers
+    Given a store with the daemons "b" and one unreadable row
+    When the peers are read
+    Then the address of "b" is known
+
+  Scenario: An order to stop is not sent after the claim has run out
+    A holder that was paused could stop work that another daemon had just started.
+
+    Given a link to a worker
+    When a stop is to be sent by a time that has passed
+    Then the worker gets no call, and the stop counts as lost
--- /dev/null
+++ b/tests/actors/batch/elector_steps.py
@@ -0,0 +1,205 @@
+"""Steps of the claim, the peers and the links of one daemon."""
+
+from queue import SimpleQueue
+from threading import Event
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from geraniumwell.actors.batch.elector import Elector
+from geraniumwell.actors.batch.parts import SchedulerParts
+from geraniumwell.actors.batch.peer_keeper import PeerKeeper
+from geraniumwell.actors.batch.worker_links import OrderLink
+from geraniumwell.actors.ticker import Ticker
+from geraniumwell.clients.table import (
+    Committed,
+    RowRange,
+    StoredRow,
+    TableTransaction,
+)
+from geraniumwell.clients.table_relay import PeerDirectory
+from geraniumwell.codec.batch import decode_leader, encode_leader, encode_peer
+from geraniumwell.const import LEADER_KEY, TABLE_CONTROL, TABLE_DAEMONS
+from geraniumwell.messages.batch import CatalogChanged, SendStop, StopLost
+from geraniumwell.model.batch.cluster import BatchPolicy, StopTask
+from geraniumwell.model.batch.job import TaskId
+from geraniumwell.model.batch.leader import LeaderRow
+from geraniumwell.model.batch.peer import Peer
+from geraniumwell.util.clock import steady_seconds
+from tests.actors.batch.scheduler_steps import Owner, make_entry
+from tests.support.batch import make_test_catalog
+from tests.support.processes import wait_until
+
+WAIT_SECONDS = 20.0
+
+
+class SlowStore:
+    """Answers the first reading late, or some with errors, and notes claims."""
+
+    __slots__ = (
+        "_delay_seconds",
+        "_errors",
+        "_is_renewing",
+        "claimed_at",
+        "renewed_at",
+        "row",
+        "rows",
+    )
+
+    def __init__(self, delay_seconds: float = 0.0, errors: int = 0) -> None:
+        self._delay_seconds = delay_seconds
+        self._errors = errors
+        self._is_renewing = False
+        self.row: StoredRow | None = None
+        self.rows: tuple[StoredRow, ...] = ()
+        self.renewed_at = 0.0
+        self.claimed_at: SimpleQueue[float] = SimpleQueue()
+
+    def hold(self, holder: str) -> None:
+        """Let another daemon hold the claim and renew it in the first reading."""
+        value = encode_leader(LeaderRow(holder, 4, 7, {}))
+        self.row = StoredRow(TABLE_CONTROL, LEADER_KEY, value, 7)
+        self._is_renewing = True
+
+    def read(
+        self, table: str, first: str = "", limit: int = 0, part: str = ""
+    ) -> RowRange:
+        """Return the rows as they are when the answer leaves."""
+        delay_seconds, self._delay_seconds = self._delay_seconds, 0.0
+        Event().wait(delay_seconds)
+        if self._errors:
+            self._errors -= 1
+            raise RuntimeError("as told")
+        if self._is_renewing:
+            self._is_renewing = False
+            self.renewed_at = steady_seconds()
+        rows = self.rows
+        if table == TABLE_CONTROL:
+            rows = (self.row,) if self.row is not None else ()
+        return RowRange(rows, 9)
+
+    def commit(self, transaction: TableTransaction) -> Committed:
+        """Take every transaction as carried out."""
+        for write in transaction.writes:
+            if write.key == LEADER_KEY and decode_leader(write.value).holder == "a":
+                self.claimed_at.put(steady_seconds())
+        return Committed(10)
+
+    def watch(self, table: str, after: int, seconds: float) -> RowRange:
+        """Return no changes."""
+        Event().wait(seconds)
+        return RowRange((), after)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class CountingWorker:
+    """Counts the stops that reach it."""
+
+    __slots__ = ("stops",)
+
+    def __init__(self) -> None:
+        self.stops = 0
+
+    def stop(self, epoch: int, order: StopTask) -> None:
+        """Count a stop."""
+        self.stops += 1
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+@given("a store that answers the first reading after {seconds:g} seconds")
+def step_slow(context: Context, seconds: float) -> None:
+    context.store = SlowStore(seconds)
+
+
+@given("a store whose next {count:d} readings end in an unexpected error")
+def step_errors(context: Context, count: int) -> None:
+    context.store = SlowStore(errors=count)
+
+
+@given('"{holder}" holds the claim and renews it during the first reading')
+def step_hold(context: Context, holder: str) -> None:
+    context.store.hold(holder)
+
+
+@when('"{name}" watches the claim')
+def step_watch(context: Context, name: str) -> None:
+    ticker = Ticker()
+    ticker.start()
+    parts = SchedulerParts(
+        BatchPolicy(),
+        ticker,
+        lambda: context.store,
+        lambda worker_id, address: CountingWorker(),
+        "workers",
+        make_entry,
+    )
+    elector = Elector.start(name, parts, PeerDirectory(), 1.0)
+    elector.tell(CatalogChanged(make_test_catalog()))
+    context.add_cleanup(elector.stop)
+
+
+@then("it claims no sooner than {seconds:g} seconds after the renewal")
+def step_not_sooner(context: Context, seconds: float) -> None:
+    claimed_at = context.store.claimed_at.get(timeout=WAIT_SECONDS)
+    age = claimed_at - context.store.renewed_at
+    assert age >= seconds, age
+
+
+@then("it claims")
+def step_claims(context: Context) -> None:
+    assert context.store.claimed_at.get(timeout=WAIT_SECONDS)
+
+
+@given('a store with the daemons "{name}" and one unreadable row')
+def step_daemons(context: Context, name: str) -> None:
+    context.store = SlowStore()
+    address = encode_peer(Peer("127.0.0.1:9", 1.0))
+    context.store.rows = (
+        StoredRow(TABLE_DAEMONS, name, address, 1),
+        StoredRow(TABLE_DAEMONS, "other", b"\xff\xfe", 2),
+    )
+
+
+@when("the peers are read")
+def step_read_peers(context: Context) -> None:
+    context.directory = PeerDirectory()
+    ticker = Ticker()
+    ticker.start()
+    keeper = PeerKeeper.start(
+        "a", Peer("127.0.0.1:8", 1.0), context.store, context.directory, ticker
+    )
+    context.add_cleanup(keeper.stop)
+
+
+@then('the address of "{name}" is known')
+def step_known(context: Context, name: str) -> None:
+    wait_until(
+        lambda: context.directory.addresses == ("127.0.0.1:9",), "the peer is known"
+    )
+
+
+@given("a link to a worker")
+def step_link(context: Context) -> None:
+    context.told: SimpleQueue[Any] = SimpleQueue()
+    context.owner = Owner.start(context.told)
+    context.add_cleanup(context.owner.stop)
+    context.worker = CountingWorker()
+    context.link = OrderLink.start(context.worker, 1, context.owner)
+
+
+@when("a stop is to be sent by a time that has passed")
+def step_late_stop(context: Context) -> None:
+    order = StopTask("w1", TaskId("j", 0, 0, 0), 1)
+    context.link.tell(SendStop(order, steady_seconds() - 0.1))
+
+
+@then("the worker gets no call, and the stop counts as lost")
+def step_stop_lost(context: Context) -> None:
+    message = context.told.get(timeout=WAIT_SECONDS)
+    assert isinstance(message, StopLost), message
+    assert context.worker.stops == 0
--- a/tests/codec/batch.feature
+++ b/tests/codec/batch.feature
@@ -19,4 +19,5 @@
       | xyz   | spec     |
       | xyz   | leader   |
       | xyz   | progress |
+      | xyz   | peer     |
       |       | spec     |
--- a/tests/codec/batch_steps.py
+++ b/tests/codec/batch_steps.py
@@ -5,6 +5,7 @@
 
 from geraniumwell.codec.batch import (
     decode_leader,
+    decode_peer,
     decode_progress,
     decode_spec,
     decode_state,
@@ -15,7 +16,12 @@
 from geraniumwell.model.batch.job import Job, JobState, Phase, open_occurrence
 from tests.support.batch import make_job, make_step
 
-READERS = {"spec": decode_spec, "leader": decode_leader, "progress": decode_state}
+READERS = {
+    "spec": decode_spec,
+    "leader": decode_leader,
+    "progress": decode_state,
+    "peer": decode_peer,
+}
 
 
 @given("a job with two steps, a failure and a finished occurrence")
--- a/tests/commands/batch/leadership.feature
+++ b/tests/commands/batch/leadership.feature
@@ -23,3 +23,17 @@
     Given "a/1" holds epoch 4 and was seen changing at second 10
     Then "a/2" may claim at second 10 with epoch 5
     And "b/1" may not claim at second 10
+
+  Scenario: A weak VM leaves a free claim to a stronger one, but not for long
+    The scheduling daemon of a large fleet was at its limit on a weak VM.
+
+    Given "" holds epoch 4 and was seen changing at second 10
+    Then a VM with 0.5 of 2.0 cores may not claim at second 10.2
+    And a VM with 2.0 of 2.0 cores may claim at second 10
+    And a VM with 0.5 of 2.0 cores may claim at second 10.4
+
+  Scenario: A weak VM waits longer for a silent holder too
+    Given "b" holds epoch 4 and was seen changing at second 10
+    Then a VM with 0.5 of 2.0 cores may not claim at second 11.2
+    And a VM with 2.0 of 2.0 cores may claim at second 11.2
+    And a VM with 0.5 of 2.0 cores may claim at second 11.5
--- a/tests/commands/batch/leadership_steps.py
+++ b/tests/commands/batch/leadership_steps.py
@@ -7,6 +7,7 @@
     CLAIM_AFTER_SECONDS,
     HOLDER_VALID_SECONDS,
     Observation,
+    find_delay,
     make_claim,
     may_claim,
     observe,
@@ -46,3 +47,13 @@
 @then("a holder's orders end before the claim of another")
 def step_margin(context: Context) -> None:
     assert HOLDER_VALID_SECONDS < CLAIM_AFTER_SECONDS
+
+
+@then("a VM with {cores:g} of {best:g} cores may claim at second {now:g}")
+def step_strong(context: Context, cores: float, best: float, now: float) -> None:
+    assert may_claim(context.seen, "a", now, find_delay(cores, best))
+
+
+@then("a VM with {cores:g} of {best:g} cores may not claim at second {now:g}")
+def step_weak(context: Context, cores: float, best: float, now: float) -> None:
+    assert not may_claim(context.seen, "a", now, find_delay(cores, best))
