--- a/geraniumwell/actors/batch/elector.py
+++ b/geraniumwell/actors/batch/elector.py
@@ -1,8 +1,9 @@
 """Actor that decides whether this daemon schedules."""
 
+from contextlib import suppress
 from typing import Any
 
-from pykka import ActorRef
+from pykka import ActorDeadError, ActorRef, Timeout
 
 from geraniumwell.actors.batch.lasting_actor import LastingActor
 from geraniumwell.actors.batch.parts import SchedulerParts
@@ -42,6 +43,9 @@
 from geraniumwell.model.batch.leader import LeaderRow
 from geraniumwell.util.clock import steady_seconds
 
+# A scheduler that is busy answers from its inbox later than the counts are worth.
+PENDING_SECONDS = 1.0
+
 
 class Elector(LastingActor):
     """Watches the claim of the scheduling daemon and claims it when it is free.
@@ -109,8 +113,10 @@
         return None
 
     def _find_pending(self) -> dict[str, int]:
-        if self._scheduler is not None and self._scheduler.is_alive():
-            return self._scheduler.ask(AskPending(), timeout=1.0)
+        if self._scheduler is not None:
+            with suppress(Timeout, ActorDeadError):
+                return self._scheduler.ask(AskPending(), timeout=PENDING_SECONDS)
+        # The stored counts are a renewal old at the most.
         return self._seen.row.pending if self._seen.row else {}
 
     def _step_down(self, epoch: int, reason: str) -> None:
--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -14,6 +14,11 @@
 )
 from geraniumwell.model.batch.unit import StepKey
 
+# Tasks of a job's occurrences that are kept at the same time. More would not fit into
+# one row of progress, and thousands of occurrences that are due at once would take the
+# memory of the daemon.
+OPEN_TASK_LIMIT = 2_000
+
 
 def add_job(cluster: Cluster, spec: JobSpec, wall_now: float) -> None:
     """Take an accepted job up, unless it is known."""
@@ -85,7 +90,11 @@
     """Make the steps of all occurrences that are due; tell whether there were any."""
     spec = job.spec
     before = job.opened
+    tasks = sum(step.count for step in spec.steps)
     while job.opened < spec.occurrences:
+        unfinished = job.opened - len(job.finished)
+        if unfinished and (unfinished + 1) * tasks > OPEN_TASK_LIMIT:
+            break
         if wall_now < spec.first_due + job.opened * spec.period_seconds:
             break
         open_occurrence(job, job.opened)
--- a/geraniumwell/platform/decode.py
+++ b/geraniumwell/platform/decode.py
@@ -99,11 +99,18 @@
         raise CodecError("a job needs at least one step")
     if sum(step.count for step in wire.steps) > TASK_LIMIT:
         raise CodecError(f"a job may have {TASK_LIMIT} tasks at the most")
+    if wire.repeats < 0 or wire.period_ms < 0:
+        raise CodecError("a job can't repeat a negative number of times or period")
     if wire.repeats > OCCURRENCE_LIMIT:
         raise CodecError(f"a job may run {OCCURRENCE_LIMIT} times at the most")
     for number, step in enumerate(wire.steps):
         if step.count < 1:
             raise CodecError(f"step {number} has no tasks")
+        # A negative amount would add room to the worker that runs the task.
+        if min(step.cpu, step.mem_mb, step.gpu, step.anti_affinity) < 0:
+            raise CodecError(f"step {number} needs a negative amount")
+        if step.est_runtime_ms < 0:
+            raise CodecError(f"step {number} takes a negative time")
         if any(not 0 <= k < number for k in step.after):
             raise CodecError(f"step {number} comes after a step that is not earlier")
 
@@ -160,7 +167,7 @@
     return f"{task_id.job}.{task_id.occurrence}.{task_id.step}.{task_id.index}"
 
 
-def parse_task(text: str) -> TaskId:
+def parse_task(text: Any) -> TaskId:
     """Return the task that a name on the wire means.
 
     Raises
@@ -168,6 +175,8 @@
     CodecError
         If the text is no name of a task.
     """
+    if not isinstance(text, str):
+        raise CodecError(f"{text!r} names no task")
     try:
         job, occurrence, step, index = text.split(".")
         return TaskId(job, int(occurrence), int(step), int(index))
@@ -187,18 +196,25 @@
     try:
         running = tuple(_make_running(row) for row in wire.running)
         ended = tuple(_make_ended(row) for row in wire.ended)
-    except (ValueError, TypeError, IndexError) as exc:
+    except (ValueError, TypeError, IndexError, OverflowError) as exc:
         raise CodecError(f"rows of runs can't be read: {exc}") from exc
     return WorkerReport(wire.clock_ms, running, ended, wire.born)
 
 
 def _make_running(row: tuple[Any, ...]) -> RunningTask:
-    return RunningTask(parse_task(row[0]), int(row[1]), row[2] or "", int(row[3]))
+    checkpoint = _read_checkpoint(row[2])
+    return RunningTask(parse_task(row[0]), int(row[1]), checkpoint, int(row[3]))
 
 
 def _make_ended(row: tuple[Any, ...]) -> EndedTask:
     number, name, run, kind = row[:4]
-    checkpoint = row[4] if len(row) > 4 else ""
-    return EndedTask(
-        int(number), parse_task(name), int(run), EndKind(kind), checkpoint or ""
-    )
+    checkpoint = _read_checkpoint(row[4] if len(row) > 4 else "")
+    return EndedTask(int(number), parse_task(name), int(run), EndKind(kind), checkpoint)
+
+
+def _read_checkpoint(value: Any) -> str:
+    if value is None:
+        return ""
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is no checkpoint")
+    return value
--- a/geraniumwell/platform/front.py
+++ b/geraniumwell/platform/front.py
@@ -132,6 +132,9 @@
             pending = self._elector.ask(AskPending(), timeout=ASK_SECONDS)
         except (Timeout, ActorDeadError):
             return "count", 503, b"{}"
+        if pending is None:
+            # The elector logs its unexpected errors and answers nothing.
+            return "count", 503, b"{}"
         count = pending.get(access.queue.name, 0)
         return "count", 200, encode({"Pending": count})
 
--- a/tests/commands/batch/planning.feature
+++ b/tests/commands/batch/planning.feature
@@ -188,3 +188,11 @@
     And a job "j" of 2 tasks with 8 accelerators
     When the scheduler plans at second 3
     Then the worker "w2" has a task
+
+  Scenario: Thousands of occurrences that are due at once are opened a few at a time
+    One such job took the memory of the scheduling daemon.
+
+    Given workers in the racks "r1"
+    And a job "t" that runs 9000 times, first at second 0 and then each 0 seconds
+    When the scheduler plans at second 1
+    Then the job "t" keeps at most 2000 tasks
--- a/tests/commands/batch/planning_steps.py
+++ b/tests/commands/batch/planning_steps.py
@@ -251,3 +251,9 @@
 def step_urgent_rack_gang(context: Context, name: str, count: int, gpus: int) -> None:
     step = make_step(count, gpus, is_gang=True, is_same_rack=True)
     submit(context.cluster, make_job(name, step, queue="quotes"))
+
+
+@then('the job "{name}" keeps at most {most:d} tasks')
+def step_kept(context: Context, name: str, most: int) -> None:
+    steps = context.cluster.jobs[name].steps.values()
+    assert 0 < sum(len(step.tasks) for step in steps) <= most
