Measure a stall by the worker's clock, so that a late report stops no work

Cause: a task counted as standing still when our time of reading a report was 6 s after its last progress. A daemon that was paused or starved for some seconds reads a report that tells of a time before; it stopped work that went on well and avoided the worker for 30 s. Ruled out: leases (they are counted from the sending and never shorten); silence of a worker (its work waits for the lease, shown by a new scenario that passed before too). Change: the worker's clock of the last progress is kept with the task, from the answer to the start on.

--- a/bench/scheduling/world.py
+++ b/bench/scheduling/world.py
@@ -83,8 +83,11 @@
                 self.numbers[name] += 1
                 number = self.numbers[name]
                 ended.append(EndedTask(number, task_id, task.run, EndKind.DONE, ""))
+        # Progress is told in each report, so that no task seems to stand still.
+        percent = int(self.now * 10) % 100
         running = tuple(
-            RunningTask(task_id, worker.tasks[task_id].run, "", 50) for task_id in ends
+            RunningTask(task_id, worker.tasks[task_id].run, "", percent)
+            for task_id in ends
         )
         clock_ms = int(1000 + self.now * 1000)
         return WorkerReport(clock_ms, running, tuple(ended), 1)
@@ -92,9 +95,6 @@
     def apply(self, name: str, report: WorkerReport) -> list[Order]:
         """Apply a report of a worker."""
         worker = self.cluster.workers[name]
-        # Progress is told in each report, so that no task seems to stand still.
-        for task in worker.tasks.values():
-            task.progressed_at = self.now
         return apply_report(
             self.cluster, worker, report, self.now, self.now, WALL + self.now
         )
--- a/geraniumwell/actors/batch/start_messages.py
+++ b/geraniumwell/actors/batch/start_messages.py
@@ -20,7 +20,9 @@
             ORDERS.labels("start", answer.result.value).inc()
             if answer.result is not StartResult.STARTED:
                 log_failure(order, answer.result.value)
-            return apply_start_answer(cluster, order, answer.result, now)
+            return apply_start_answer(
+                cluster, order, answer.result, now, answer.clock_ms
+            )
         case StartNotSent(order, code):
             ORDERS.labels("start", code).inc()
             log_failure(order, code)
--- a/geraniumwell/commands/batch/answers.py
+++ b/geraniumwell/commands/batch/answers.py
@@ -36,9 +36,19 @@
 
 
 def apply_start_answer(
-    cluster: Cluster, order: StartTask, result: StartResult, now: float
+    cluster: Cluster,
+    order: StartTask,
+    result: StartResult,
+    now: float,
+    clock_ms: int = 0,
 ) -> list[Order]:
-    """Apply a worker's answer to a start; return the orders that follow."""
+    """Apply a worker's answer to a start; return the orders that follow.
+
+    Parameters
+    ----------
+    clock_ms : int
+        The worker's clock when it answered; 0 if it did not tell.
+    """
     task = find_placed(cluster, order)
     worker = cluster.workers.get(order.worker)
     if task is None or worker is None:
@@ -52,6 +62,7 @@
             if task.phase is Phase.STARTING:
                 task.phase = Phase.RUNNING
                 task.started_at = task.progressed_at = now
+                task.progressed_clock_ms = clock_ms or None
             return []
         case StartResult.NO_ROOM | StartResult.REFUSED | StartResult.OTHER_LIFE:
             note_refusal(worker, now)
--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -98,8 +98,9 @@
         return [StopTask(worker.entry.id, item.id, item.run)]
     if item.checkpoint:
         task.checkpoint = item.checkpoint
-    if item.percent != task.progress or not task.progressed_at:
+    if item.percent != task.progress or task.progressed_clock_ms is None:
         task.progress, task.progressed_at = item.percent, now
+        task.progressed_clock_ms = worker.clock_ms
     if task.settled_at is None:
         task.settled_at = now
     if task.phase is Phase.STARTING:
--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -163,6 +163,7 @@
         task.phase = Phase.WAITING
     task.worker = ""
     task.settled_at = None
+    task.progressed_clock_ms = None
     task.is_order_sent = False
     task.stopped_at = None
     note_change(cluster, task.id.job)
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -42,8 +42,10 @@
 BROKEN_GANG_SECONDS = 0.8
 # A stop without an answer is sent again after this time.
 STOP_REPEAT_SECONDS = 1.0
-# Progress is told in whole percent, and looks come every two seconds.
-STALL_SECONDS = 6.0
+# Progress is told in whole percent, and looks come every two seconds. The time is that
+# of the worker's clock: a report that is read late, because this daemon was paused or
+# busy, tells of a time long ago.
+STALL_MS = 6_000
 # A guaranteed unit gives up the rack where it runs fastest after this time. Running
 # far takes several seconds longer, but it has to start within some 3 s.
 URGENT_FAR_SECONDS = 1.3
@@ -126,7 +128,8 @@
         for task in list(worker.tasks.values()):
             if task.phase is not Phase.RUNNING:
                 continue
-            if worker.clock_at - task.progressed_at < STALL_SECONDS:
+            since_ms = task.progressed_clock_ms
+            if since_ms is None or worker.clock_ms - since_ms < STALL_MS:
                 continue
             job = cluster.jobs[task.id.job]
             if job.spec.steps[task.id.step].is_long_running:
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -124,6 +124,9 @@
         Percent of the work done, as the worker last told.
     progressed_at : float
         Time at which ``progress`` last changed.
+    progressed_clock_ms : int or None
+        The worker's clock when it first listed ``progress``; None before the first
+        report of the run.
     stopped_at : float or None
         Time of the last stop order of this run.
     """
@@ -139,6 +142,7 @@
     started_at: float = 0.0
     progress: int = 0
     progressed_at: float = 0.0
+    progressed_clock_ms: int | None = None
     stopped_at: float | None = None
     failed_on: tuple[str, ...] = ()
 
--- a/tests/commands/batch/planning.feature
+++ b/tests/commands/batch/planning.feature
@@ -196,3 +196,26 @@
     And a job "t" that runs 9000 times, first at second 0 and then each 0 seconds
     When the scheduler plans at second 1
     Then the job "t" keeps at most 2000 tasks
+
+  Scenario: A report that is read late is not taken for a task that stands still
+    A daemon that was paused stopped work that went on well, and avoided its worker.
+
+    Given workers in the racks "r1"
+    And a job "j" of 1 tasks with 1 accelerators
+    And the scheduler planned at second 1
+    And the worker "w1" lists the task of "j" at 20 percent until second 2
+    When a report of "w1" on the task of "j" at 20 percent from second 2.2 is read at second 9
+    And the scheduler plans at second 9
+    Then no order is given
+
+  Scenario: Work on a worker that was silent for a while goes on
+    Given workers in the racks "r1 r1"
+    And a job "j" of 1 tasks with 1 accelerators
+    And the scheduler planned at second 1
+    And a call to the worker "w1" got no answer at second 2
+    And a call to the worker "w2" got no answer at second 2
+    When the scheduler plans at second 9
+    Then no order is given
+    When a report of "w1" on the task of "j" at 60 percent from second 10 is read at second 10
+    And the scheduler plans at second 10
+    Then no order is given
--- a/tests/commands/batch/planning_steps.py
+++ b/tests/commands/batch/planning_steps.py
@@ -137,6 +137,23 @@
     report(context.cluster, name, at, running)
 
 
+@when(
+    'a report of "{name}" on the task of "{job}" at {percent:d} percent'
+    " from second {answered_at:g} is read at second {now:g}"
+)
+def step_late_report(
+    context: Context,
+    name: str,
+    job: str,
+    percent: int,
+    answered_at: float,
+    now: float,
+) -> None:
+    task = list_tasks(context.cluster, job)[0]
+    running = (RunningTask(task.id, task.run, "", percent),)
+    report(context.cluster, name, now, running, answered_at=answered_at)
+
+
 @given("the scheduler planned at second {now:g}")
 @when("the scheduler plans at second {now:g}")
 def step_plan(context: Context, now: float) -> None:
--- a/tests/support/batch.py
+++ b/tests/support/batch.py
@@ -104,6 +104,7 @@
             task.is_order_sent = True
             task.phase = Phase.RUNNING
             task.settled_at = task.started_at = task.progressed_at = now
+            task.progressed_clock_ms = int(1000 + now * 1000)
             cluster.workers[order.worker].lease_until = now + 100.0
     return orders
 
@@ -127,11 +128,13 @@
     ended: tuple[EndedTask, ...] = (),
     sent_at: float | None = None,
     started_ms: int = 1,
+    answered_at: float | None = None,
 ) -> list[Order]:
     """Apply a report of a worker that was asked at ``sent_at``."""
     worker = cluster.workers[name]
-    answer = WorkerReport(int(1000 + now * 1000), running, ended, started_ms)
-    asked = now if sent_at is None else sent_at
+    answered = now if answered_at is None else answered_at
+    answer = WorkerReport(int(1000 + answered * 1000), running, ended, started_ms)
+    asked = answered if sent_at is None else sent_at
     return apply_report(cluster, worker, answer, asked, now, WALL + now)
 
 
