Let the first claim of a deployment fall to a strong VM

Cause: when a deployment starts, no VM knows the others yet, so the first one to look claimed, whatever its processor. Ruled out: reading the peers first (they write their rows within the same second and are read again after 4 s). Change: before the first claim a VM waits one second for each core it is short of, 3 s at the most; the share and the speed of the processor come from the settings and must be above 0. Conclusion: later claims are decided by what the rows of daemons say.

--- a/geraniumwell/actors/batch/elector.py
+++ b/geraniumwell/actors/batch/elector.py
@@ -138,7 +138,7 @@
         now = steady_seconds()
         try:
             self._read()
-            delay = find_delay(self._cores, self._directory.best_cores)
+            delay = find_delay(self._seen, self._cores, self._directory.best_cores)
             if not self._is_retiring and may_claim(
                 self._seen, self._holder, now, delay
             ):
--- a/geraniumwell/commands/batch/leadership.py
+++ b/geraniumwell/commands/batch/leadership.py
@@ -14,6 +14,10 @@
 # A weak VM leaves a free claim to a stronger one for this time, which is a little more
 # than one look of the stronger one takes.
 WEAK_DELAY_SECONDS = 0.35
+# Before the first claim of a deployment no VM knows the others. A VM with one core
+# waits this long, a stronger one less, and each one no longer than the limit.
+FIRST_CLAIM_CORE_SECONDS = 1.0
+FIRST_CLAIM_LIMIT_SECONDS = 3.0
 # A VM with less than this share of the strongest one's processor counts as weak. The
 # scheduling daemon needs several times the processor time of the others.
 WEAK_SHARE = 0.5
@@ -53,14 +57,18 @@
     return f"{vm}{PROCESS_MARK}{process}"
 
 
-def find_delay(cores: float, best_cores: float) -> float:
+def find_delay(seen: Observation, cores: float, best_cores: float) -> float:
     """Return how long a VM leaves a free claim to others, in seconds.
 
     Parameters
     ----------
+    seen : Observation
+        What was last seen of the leader row; without a row it is the first claim.
     cores, best_cores : float
         Processor of this VM and of the strongest known one, in cores.
     """
+    if seen.row is None:
+        return min(FIRST_CLAIM_CORE_SECONDS / cores, FIRST_CLAIM_LIMIT_SECONDS)
     return WEAK_DELAY_SECONDS if cores < WEAK_SHARE * best_cores else 0.0
 
 
--- a/geraniumwell/platform/settings.py
+++ b/geraniumwell/platform/settings.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, fields
 from pathlib import Path
+from typing import Annotated
 
-from msgspec import DecodeError, ValidationError
+from msgspec import DecodeError, Meta, ValidationError
 from msgspec.json import decode
 
 from geraniumwell.exceptions import SettingsError
@@ -39,8 +40,8 @@
     lease_limit_ms: float = 10_000
     result_seconds: float = 120
     far_factor: float = 3
-    processor_share: float = 1.0
-    core_speed: float = 1.0
+    processor_share: Annotated[float, Meta(gt=0)] = 1.0
+    core_speed: Annotated[float, Meta(gt=0)] = 1.0
     log_level: str = "INFO"
 
 
--- a/tests/commands/batch/leadership.feature
+++ b/tests/commands/batch/leadership.feature
@@ -37,3 +37,9 @@
     Then a VM with 0.5 of 2.0 cores may not claim at second 11.2
     And a VM with 2.0 of 2.0 cores may claim at second 11.2
     And a VM with 0.5 of 2.0 cores may claim at second 11.5
+
+  Scenario: The first claim of a deployment falls to a strong VM
+    Given no daemon has claimed yet
+    Then a VM with 0.5 of 0 cores may not claim at second 1.9
+    And a VM with 2.0 of 0 cores may claim at second 0.5
+    And a VM with 0.1 of 0 cores may claim at second 3
--- a/tests/commands/batch/leadership_steps.py
+++ b/tests/commands/batch/leadership_steps.py
@@ -51,9 +51,9 @@
 
 @then("a VM with {cores:g} of {best:g} cores may claim at second {now:g}")
 def step_strong(context: Context, cores: float, best: float, now: float) -> None:
-    assert may_claim(context.seen, "a", now, find_delay(cores, best))
+    assert may_claim(context.seen, "a", now, find_delay(context.seen, cores, best))
 
 
 @then("a VM with {cores:g} of {best:g} cores may not claim at second {now:g}")
 def step_weak(context: Context, cores: float, best: float, now: float) -> None:
-    assert not may_claim(context.seen, "a", now, find_delay(cores, best))
+    assert not may_claim(context.seen, "a", now, find_delay(context.seen, cores, best))
