Read the configuration anew after an error in place of all its missed changes

Cause: after an outage the watch of the configuration asked for the changes since, which hold every version in full. Change: the feed of the operator's table reads the rows as they are after an error. Conclusion: a daemon that missed versions needs one of them.

--- a/geraniumwell/actors/batch/table_feed.py
+++ b/geraniumwell/actors/batch/table_feed.py
@@ -36,6 +36,9 @@
         Pause after an answer with changes, so that several come in one.
     parts : tuple of str
         Parts of the table, for readings of the whole of it.
+    is_rereading : bool
+        Whether the whole table is read after an error. The missed changes of a few
+        large rows take much longer to arrive than the rows as they are.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         wait_seconds: float,
         gap_seconds: float = 0.0,
         parts: tuple[str, ...] = ("",),
+        is_rereading: bool = False,
     ) -> None:
         super().__init__(client, receiver)
         self._table = table
@@ -54,6 +58,7 @@
         self._wait_seconds = wait_seconds
         self._gap_seconds = gap_seconds
         self._parts = parts
+        self._is_rereading = is_rereading
         self._after: int | None = None
 
     def on_receive(self, message: Any) -> None:
@@ -73,6 +78,8 @@
             pause = 0.0
         except StoreError as exc:
             tell(self._owner, TableSilent(self._table, exc.code))
+            if self._is_rereading:
+                self._after = None
             pause = RETRY_SECONDS
         if pause:
             self._ticker.tick_after(pause, self.actor_ref, "ask")
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -165,6 +165,7 @@
             keeper,
             self._ticker,
             CONFIG_WAIT_SECONDS,
+            is_rereading=True,
         )
         feed.tell(FollowTable(None))
         desk = JobDesk(parts.make_store, health)
--- a/tests/actors/batch/store_actors.feature
+++ b/tests/actors/batch/store_actors.feature
@@ -26,3 +26,12 @@
     Given a store whose transactions end in an unexpected error
     When the old job "00000000000000a1" is swept
     Then the owner is told that the "JobSweeper" has failed
+
+  Scenario: A feed of large rows reads them anew after an error
+    The changes that were missed in an outage hold every version of the configuration. On
+    a slow link they arrived 13 s after the newest one was in force.
+
+    Given a store whose next 0 readings fail
+    And its next watch fails
+    When a feed that reads anew follows a table from version 5 on
+    Then the owner is told that the table is silent, and then of all its rows
--- a/tests/actors/batch/store_actors_steps.py
+++ b/tests/actors/batch/store_actors_steps.py
@@ -1,7 +1,7 @@
 """Steps of the actors that call the store."""
 
 from queue import SimpleQueue
-from threading import Lock
+from threading import Event, Lock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -9,6 +9,7 @@
 from geraniumwell.actors.batch.job_sweeper import JobSweeper
 from geraniumwell.actors.batch.parts import SchedulerParts
 from geraniumwell.actors.batch.store_probe import StoreProbe
+from geraniumwell.actors.batch.table_feed import TableFeed
 from geraniumwell.actors.batch.table_loader import TableLoader
 from geraniumwell.actors.ticker import Ticker
 from geraniumwell.clients.table import (
@@ -21,10 +22,13 @@
 from geraniumwell.clients.table_relay import StoreHealth
 from geraniumwell.codec.batch import find_job_part
 from geraniumwell.messages.batch import (
+    FollowTable,
     JobsSwept,
     LoadTables,
     PartFailed,
     SweepJobs,
+    TableReset,
+    TableSilent,
     TablesLoaded,
 )
 from geraniumwell.model.batch.cluster import BatchPolicy
@@ -45,13 +49,14 @@
         What each transaction raises.
     """
 
-    __slots__ = ("_error", "_failures", "_lock", "transactions")
+    __slots__ = ("_error", "_failures", "_lock", "transactions", "watch_failures")
 
     def __init__(self, failures: int = 0, error: Exception | None = None) -> None:
         self._failures = failures
         self._error = error
         self._lock = Lock()
         self.transactions: list[TableTransaction] = []
+        self.watch_failures = 0
 
     def commit(self, transaction: TableTransaction) -> Committed:
         """Note a transaction, or fail."""
@@ -70,6 +75,14 @@
                 raise StoreRefusedError("as told")
         return RowRange((), 1)
 
+    def watch(self, table: str, after: int, seconds: float) -> RowRange:
+        """Fail the first time, and later wait without a change."""
+        if self.watch_failures:
+            self.watch_failures -= 1
+            raise StoreRefusedError("as told")
+        Event().wait(seconds)
+        return RowRange((), after)
+
     def close(self) -> None:
         """Do nothing."""
 
@@ -171,3 +184,25 @@
 def step_part_failed(context: Context, name: str) -> None:
     message = context.told.get(timeout=WAIT_SECONDS)
     assert message == PartFailed(name), message
+
+
+@given("its next watch fails")
+def step_watch_fails(context: Context) -> None:
+    context.store.watch_failures = 1
+
+
+@when("a feed that reads anew follows a table from version {after:d} on")
+def step_follow(context: Context, after: int) -> None:
+    feed = TableFeed.start(
+        context.store, "t", context.owner, context.ticker, 0.1, is_rereading=True
+    )
+    context.add_cleanup(feed.stop)
+    feed.tell(FollowTable(after))
+
+
+@then("the owner is told that the table is silent, and then of all its rows")
+def step_reread(context: Context) -> None:
+    first = context.told.get(timeout=WAIT_SECONDS)
+    second = context.told.get(timeout=WAIT_SECONDS)
+    assert isinstance(first, TableSilent), first
+    assert isinstance(second, TableReset), second
