Describe a nested decision of planning

Cause: a nested function had no docstring. Ruled out: removing get_state, which only scenarios use: it says what a caller is shown, and they check that. Change: a docstring. Conclusion: no behaviour changes.

--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -182,6 +182,7 @@
     was_near_wanted = False
 
     def is_far() -> bool:
+        """Decide once the fit is known, and note a unit that waits for its rack."""
         nonlocal was_near_wanted
         allowed = is_far_allowed(pool, unit, is_reclaiming, attempts, now)
         was_near_wanted = not allowed
