List the limit of threads that ends the scheduler beyond some 1,900 workers

A trial with 3,000 workers in a scratch site file shows each daemon in turn claim and end with "can't start new thread": each worker has a thread for looks and one for orders. Ruled out: decisions and the store (1,500 workers on the same machines are served), memory (129 MB of 552).

--- a/tests/actors/batch/scheduler.feature
+++ b/tests/actors/batch/scheduler.feature
@@ -11,3 +11,13 @@
     Given a scheduler whose readings of the store are held back
     When one of its parts fails
     Then its owner is told that it has ended
+
+  Scenario: Workers without work keep no thread
+    One thread for each worker ends the scheduler where a process may not start more: with
+    3,000 workers each daemon in turn claimed and failed, and no job ever ran.
+
+    Given a scheduler whose readings of the store are held back
+    And 200 workers in the registry
+    When the store answers the readings
+    And all 200 workers have been looked at
+    Then at most 20 links to workers are left
--- a/tests/actors/batch/scheduler_steps.py
+++ b/tests/actors/batch/scheduler_steps.py
@@ -7,10 +7,11 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from pykka import ThreadingActor
+from pykka import ActorRegistry, ThreadingActor
 
 from geraniumwell.actors.batch.parts import SchedulerParts
 from geraniumwell.actors.batch.scheduler import Scheduler
+from geraniumwell.actors.batch.worker_links import LookLink
 from geraniumwell.actors.ticker import Ticker
 from geraniumwell.clients.table import (
     Committed,
@@ -27,9 +28,12 @@
 from geraniumwell.model.batch.worker import StartResult, WorkerEntry, WorkerReport
 from geraniumwell.util.clock import steady_seconds
 from tests.support.batch import CAPACITY, make_job, make_step, make_test_catalog
+from tests.support.processes import wait_until
 
 REGISTRY = "workers"
 WAIT_SECONDS = 20.0
+# Time for links that are no longer needed to end.
+LINK_SECONDS = 5.0
 
 
 class MemoryStore:
@@ -86,13 +90,17 @@
 class MemoryWorker:
     """A worker that starts what it is told and tells the test."""
 
-    __slots__ = ("_started",)
+    __slots__ = ("_looked", "_started")
 
-    def __init__(self, started: SimpleQueue[StartTask]) -> None:
+    def __init__(
+        self, started: SimpleQueue[StartTask], looked: SimpleQueue[None]
+    ) -> None:
         self._started = started
+        self._looked = looked
 
     def look(self, epoch: int, look: Look) -> WorkerReport:
         """Report nothing."""
+        self._looked.put(None)
         return WorkerReport(1000, (), ())
 
     def start(self, epoch: int, order: StartTask, deadline_ms: int) -> StartAnswer:
@@ -124,6 +132,7 @@
     context.store = MemoryStore()
     context.store.put(REGISTRY, "", "w1", b"w1")
     context.started = SimpleQueue()
+    context.looked = SimpleQueue()
     context.told = SimpleQueue()
     ticker = Ticker()
     ticker.start()
@@ -131,7 +140,7 @@
         BatchPolicy(),
         ticker,
         lambda: context.store,
-        lambda worker_id, address: MemoryWorker(context.started),
+        lambda worker_id, address: MemoryWorker(context.started, context.looked),
         REGISTRY,
         make_entry,
     )
@@ -173,6 +182,26 @@
     context.store.put(TABLE_JOBS, find_job_part(spec.id), spec.id, encode_spec(spec))
 
 
+@given("{count:d} workers in the registry")
+def step_many(context: Context, count: int) -> None:
+    for number in range(2, count + 1):
+        context.store.put(REGISTRY, "", f"w{number}", b"")
+
+
+@when("all {count:d} workers have been looked at")
+def step_looked(context: Context, count: int) -> None:
+    wait_until(lambda: context.looked.qsize() >= count, "all looks")
+
+
+@then("at most {most:d} links to workers are left")
+def step_links(context: Context, most: int) -> None:
+    wait_until(
+        lambda: len(ActorRegistry.get_by_class(LookLink)) <= most,
+        f"at most {most} links are left",
+        LINK_SECONDS,
+    )
+
+
 @when("one of its parts fails")
 def step_fail(context: Context) -> None:
     context.scheduler.tell(PartFailed("TableFeed"))
