--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Processes and checks that the cases of the review share."""
