--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 COUNT = 640
 # 640 subtasks of 0.2 cores fill a runner of 128 cores.
 STEP = {"Count": COUNT, "Cpu": 200, "MemMb": 500, "EstRuntimeMs": 7_000}
-WORK = {"ms": 7_000, "spread_ms": 1_500}
+WORK = {"ms": 7_000, "spread_ms": 500}
 # The pages: platform_down for_s = 4.5, how = "busy" (sites/chifre-ne.toml).
 DOWN_SECONDS = 4.3
 
--- a/review/support/runner.py
+++ b/review/support/runner.py
@@ -1,7 +1,8 @@
 """Stand-in of a runner, written from PROTOCOL.md ("Running subtasks").
 
 The argument is a JSON object: ``port``, ``store``, ``id``, ``record`` and optionally
-``service``, ``kind``, ``cpu``, ``mem_mb``, ``gpu``, ``heartbeat_ms``.
+``service``, ``kind``, ``cpu``, ``mem_mb``, ``gpu``, ``heartbeat_ms`` and ``public``,
+the address that it registers.
 
 A job's ``Spec`` names the work of its subtasks. ``{"ms": m, "spread_ms": s}`` is work
 of ``m`` milliseconds and, by the index of the subtask, up to ``s`` more. ``{"lasts":
@@ -224,7 +225,7 @@
         """Write the runner's entry every ``HeartbeatMs`` until the runner has left."""
         entry = {
             "Service": self.args.get("service", "pool"),
-            "Address": f"127.0.0.1:{self.args['port']}",
+            "Address": self.args.get("public", f"127.0.0.1:{self.args['port']}"),
             "Zone": "zone-1",
             "Version": "1",
             "Slots": 8,
