Reject data that is nested too deeply instead of failing on it

Cause: msgspec raises RecursionError for about 1,000 levels of nesting. The decoders turned only DecodeError and ValidationError into CodecError, so the error ended the Scheduler actor, at the load and in the feed. The next holder of the claim failed on the same row. The log of the case shows scheduler_failed with RecursionError and claim_won in turn. A store that answered wrongly and a lost claim were ruled out: no commit failed and no worker reported a higher epoch.

Change: the errors of the decoders are listed once, in DECODER_ERRORS, and used wherever data of another process is decoded: bodies of the platform, rows, messages between daemons, relayed calls, settings files and log lines.

The scheduler's scenarios now decode real registry rows in place of a function that accepted any bytes.

--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -4,10 +4,9 @@
 from zlib import compress, crc32, decompress
 from zlib import error as ZlibError
 
-from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import decode, encode
 
-from geraniumwell.codec.json import CodecError
+from geraniumwell.codec.json import DECODER_ERRORS, CodecError
 from geraniumwell.const import JOB_PARTITIONS
 from geraniumwell.model.batch.job import (
     Job,
@@ -32,7 +31,7 @@
 def _unpack(data: bytes, kind: Any) -> Any:
     try:
         return decode(decompress(data), type=kind)
-    except (ZlibError, DecodeError, ValidationError) as exc:
+    except (ZlibError, *DECODER_ERRORS) as exc:
         raise CodecError(f"row holds no {kind}: {exc}") from exc
 
 
--- a/geraniumwell/codec/json.py
+++ b/geraniumwell/codec/json.py
@@ -1,6 +1,6 @@
 """JSON encoding of data classes with msgspec."""
 
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 from msgspec import DecodeError
 from msgspec.json import decode, encode
@@ -8,6 +8,8 @@
 from geraniumwell.exceptions import GeraniumwellError
 
 T = TypeVar("T")
+# RecursionError is raised for data that is nested too deeply; it is not a DecodeError.
+DECODER_ERRORS: Final = (DecodeError, RecursionError)
 
 
 class CodecError(GeraniumwellError):
@@ -31,5 +33,5 @@
     """
     try:
         return decode(data, type=kind)
-    except DecodeError as exc:
+    except DECODER_ERRORS as exc:
         raise CodecError(f"invalid {kind.__name__}: {exc}") from exc
--- a/geraniumwell/codec/peer.py
+++ b/geraniumwell/codec/peer.py
@@ -1,9 +1,8 @@
 """MessagePack encoding of the messages between daemons."""
 
-from msgspec import DecodeError
 from msgspec.msgpack import Decoder, Encoder
 
-from geraniumwell.codec.json import CodecError
+from geraniumwell.codec.json import DECODER_ERRORS, CodecError
 from geraniumwell.messages.peer import PeerReply, PeerRequest
 
 ENCODER = Encoder()
@@ -20,7 +19,7 @@
     """Return the request decoded from bytes, or raise CodecError."""
     try:
         return REQUEST_DECODER.decode(data)
-    except DecodeError as exc:
+    except DECODER_ERRORS as exc:
         raise CodecError(f"not a peer request: {exc}") from exc
 
 
@@ -28,5 +27,5 @@
     """Return the reply decoded from bytes, or raise CodecError."""
     try:
         return REPLY_DECODER.decode(data)
-    except DecodeError as exc:
+    except DECODER_ERRORS as exc:
         raise CodecError(f"not a peer reply: {exc}") from exc
--- a/geraniumwell/codec/settings.py
+++ b/geraniumwell/codec/settings.py
@@ -6,9 +6,10 @@
 from re import fullmatch
 from typing import Any, get_args, get_type_hints
 
-from msgspec import DecodeError, ValidationError, convert
+from msgspec import ValidationError, convert
 from msgspec.json import decode
 
+from geraniumwell.codec.json import DECODER_ERRORS
 from geraniumwell.exceptions import SettingsError
 from geraniumwell.model.settings import Settings
 
@@ -42,7 +43,7 @@
     """
     try:
         raw = decode(text)
-    except DecodeError as exc:
+    except DECODER_ERRORS as exc:
         raise SettingsError("$", f"JSON ({exc})") from exc
     _check_keys(raw, Settings, "$")
     try:
--- a/geraniumwell/codec/table_relay.py
+++ b/geraniumwell/codec/table_relay.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import decode, encode
 
 from geraniumwell.clients.table import (
@@ -16,7 +15,7 @@
     StoreOutcomeUnknownError,
     StoreRefusedError,
 )
-from geraniumwell.codec.json import CodecError
+from geraniumwell.codec.json import DECODER_ERRORS, CodecError
 
 METHOD_COMMIT = "Commit"
 METHOD_READ = "Read"
@@ -74,7 +73,7 @@
     """
     try:
         return decode(data, type=kind)
-    except (DecodeError, ValidationError) as exc:
+    except DECODER_ERRORS as exc:
         raise CodecError(f"invalid {kind.__name__}: {exc}") from exc
 
 
--- a/geraniumwell/platform/settings.py
+++ b/geraniumwell/platform/settings.py
@@ -4,9 +4,10 @@
 from pathlib import Path
 from typing import Annotated
 
-from msgspec import DecodeError, Meta, ValidationError
+from msgspec import Meta
 from msgspec.json import decode
 
+from geraniumwell.codec.json import DECODER_ERRORS
 from geraniumwell.exceptions import SettingsError
 
 
@@ -63,7 +64,7 @@
         return decode(path.read_bytes(), type=PlatformSettings)
     except OSError as exc:
         raise SettingsError(str(path), f"a readable file ({exc.strerror})") from exc
-    except (ValidationError, DecodeError) as exc:
+    except DECODER_ERRORS as exc:
         raise SettingsError(str(path), str(exc)) from exc
 
 
--- a/geraniumwell/platform/wire.py
+++ b/geraniumwell/platform/wire.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from msgspec import DecodeError, Struct, ValidationError, convert, field
+from msgspec import Struct, convert, field
 from msgspec.json import decode
 
-from geraniumwell.codec.json import CodecError
+from geraniumwell.codec.json import DECODER_ERRORS, CodecError
 
 
 class WireQuota(Struct, rename="pascal"):
@@ -153,5 +153,5 @@
     try:
         # The platform writes numbers as integers or fractions, whichever is shorter.
         return convert(decode(data), kind, strict=False)
-    except (DecodeError, ValidationError) as exc:
+    except DECODER_ERRORS as exc:
         raise CodecError(f"invalid {kind.__name__}: {exc}") from exc
--- a/geraniumwell/queries/batch/trace.py
+++ b/geraniumwell/queries/batch/trace.py
@@ -4,8 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from msgspec import DecodeError
-from msgspec.json import decode
+from geraniumwell.codec.json import CodecError, decode_json
 
 # Events in causal order. The clocks of two daemons may differ by more than the time
 # between two events.
@@ -71,10 +70,10 @@
         # Log collectors may add a prefix to each line.
         _, brace, rest = text.partition("{")
         try:
-            fields = decode(brace + rest.rstrip())
+            fields = decode_json(brace + rest.rstrip(), dict)
             at, daemon = fields.pop("time"), fields.pop("daemon")
             lines.append(LogEvent(at, daemon, fields.pop("event"), fields))
-        except (DecodeError, KeyError, AttributeError):
+        except (CodecError, KeyError):
             others += 1
     return lines, others
 
--- a/tests/actors/batch/elector_steps.py
+++ b/tests/actors/batch/elector_steps.py
@@ -25,8 +25,9 @@
 from geraniumwell.model.batch.cluster import BatchPolicy
 from geraniumwell.model.batch.leader import LeaderRow
 from geraniumwell.model.batch.peer import Peer
+from geraniumwell.platform.decode import decode_entry
 from geraniumwell.util.clock import boottime_seconds
-from tests.actors.batch.scheduler_steps import MemoryConnectionPool, make_entry
+from tests.actors.batch.scheduler_steps import MemoryConnectionPool
 from tests.support.batch import make_test_catalog
 from tests.support.processes import find_free_port, wait_until
 
@@ -178,7 +179,7 @@
             SimpleQueue(), SimpleQueue(), owner
         ),
         "workers",
-        make_entry,
+        decode_entry,
     )
     elector = Elector.start(name, dependencies, directory, cores)
     elector.tell(CatalogChanged(make_test_catalog()))
--- a/tests/actors/batch/scheduler.feature
+++ b/tests/actors/batch/scheduler.feature
@@ -25,6 +25,18 @@
     When the scheduler receives the evacuations ""
     Then the job's task is started on the worker
 
+  Scenario: A registry row that is nested too deeply does not end the scheduler
+    Each daemon in turn took the claim, failed on the row and left the claim, so that no
+    accepted job was ever started.
+
+    Given a scheduler whose store reads are blocked
+    And a registry row 30000 levels deep
+    When the store answers the reads
+    And another registry row 30000 levels deep is written
+    Then 2 registry rows are counted as unreadable
+    When a job is submitted to the store
+    Then the job's task is started on the worker
+
   Scenario: Idle workers do not occupy threads
     With one thread for each worker the scheduler exceeded the thread limit of its
     process: with 3,000 workers each daemon in turn took the claim and failed, and no job
--- a/tests/actors/batch/scheduler_steps.py
+++ b/tests/actors/batch/scheduler_steps.py
@@ -35,25 +35,31 @@
 )
 from geraniumwell.model.batch.cluster import BatchPolicy, StartTask, StopTask
 from geraniumwell.model.batch.leader import LeaderRow
-from geraniumwell.model.batch.worker import StartResult, WorkerEntry, WorkerReport
+from geraniumwell.model.batch.worker import StartResult, WorkerReport
+from geraniumwell.platform.decode import decode_entry
 from geraniumwell.util.clock import boottime_seconds
-from tests.support.batch import CAPACITY, make_job, make_step, make_test_catalog
+from tests.support.batch import make_job, make_step, make_test_catalog
 from tests.support.processes import wait_until
 
 REGISTRY = "workers"
 WAIT_SECONDS = 20.0
 ROUNDS = "geraniumwell_batch_plan_seconds_count"
 WAITING = "geraniumwell_batch_jobs_waiting"
+UNREADABLE = "geraniumwell_batch_rows_unreadable_total"
+ENTRY = (
+    b'{"Service":"pool","Address":"127.0.0.1:1","Zone":"dc-1","State":"ready",'
+    b'"Capacity":{"Cpu":16000,"MemMb":64000,"Gpu":8},"Labels":["a","r1"]}'
+)
 
 
 class MemoryStore:
     """In-memory store; reads block until they are allowed."""
 
-    __slots__ = ("_changed", "_rows", "_version", "may_read")
+    __slots__ = ("_changed", "_version", "may_read", "rows")
 
     def __init__(self) -> None:
         self._changed = Condition()
-        self._rows: list[tuple[str, StoredRow]] = []
+        self.rows: list[tuple[str, StoredRow]] = []
         self._version = 1
         self.may_read = Event()
 
@@ -61,7 +67,7 @@
         """Write a row."""
         with self._changed:
             self._version += 1
-            self._rows.append((part, StoredRow(table, key, value, self._version)))
+            self.rows.append((part, StoredRow(table, key, value, self._version)))
             self._changed.notify_all()
 
     def commit(self, transaction: TableTransaction) -> Committed:
@@ -76,7 +82,7 @@
         """Return the rows of a partition once reads are allowed."""
         assert self.may_read.wait(WAIT_SECONDS)
         with self._changed:
-            rows = [r for p, r in self._rows if p == part and r.table == table]
+            rows = [r for p, r in self.rows if p == part and r.table == table]
             return RowRange(tuple(rows), self._version)
 
     def watch(self, table: str, after: int, seconds: float) -> RowRange:
@@ -85,7 +91,7 @@
         def find_changed() -> list[StoredRow]:
             return [
                 row
-                for _, row in self._rows
+                for _, row in self.rows
                 if row.table == table and row.version > after
             ]
 
@@ -140,10 +146,12 @@
 @given("a scheduler whose store reads are blocked")
 def step_scheduler(context: Context) -> None:
     context.store = MemoryStore()
-    context.store.put(REGISTRY, "", "w1", b"w1")
+    context.store.put(REGISTRY, "", "w1", ENTRY)
     context.started = SimpleQueue()
     context.polled = SimpleQueue()
     context.received = SimpleQueue()
+    labels = {"kind": "worker"}
+    context.unreadable = METRICS.get_sample_value(UNREADABLE, labels) or 0
     ticker = Ticker()
     ticker.start()
     dependencies = SchedulerDependencies(
@@ -154,7 +162,7 @@
             context.started, context.polled, owner
         ),
         REGISTRY,
-        make_entry,
+        decode_entry,
     )
     claim = LeaderClaim(LeaderRow("a/1", 1, 0, {}), 1, boottime_seconds())
     context.owner = Owner.start(context.received)
@@ -166,14 +174,6 @@
     context.add_cleanup(context.store.may_read.set)
 
 
-def make_entry(worker_id: str, value: bytes) -> WorkerEntry:
-    """Return the entry of a worker for any row."""
-    capacity = CAPACITY.copy()
-    return WorkerEntry(
-        worker_id, "pool", "w1:1", "dc-1", capacity, frozenset(), "r1", False
-    )
-
-
 @when("the configuration changes and the planning timers fire")
 def step_configuration_changes(context: Context) -> None:
     begin = monotonic()
@@ -214,7 +214,23 @@
 def step_many_workers(context: Context, count: int) -> None:
     context.threads = active_count()
     for number in range(2, count + 1):
-        context.store.put(REGISTRY, "", f"w{number}", b"")
+        context.store.put(REGISTRY, "", f"w{number}", ENTRY)
+
+
+@given("a registry row {depth:d} levels deep")
+@when("another registry row {depth:d} levels deep is written")
+def step_nested_row(context: Context, depth: int) -> None:
+    key = f"of-another-writer-{len(context.store.rows)}"
+    context.store.put(REGISTRY, "", key, b"[" * depth)
+
+
+@then("{count:d} registry rows are counted as unreadable")
+def step_unreadable(context: Context, count: int) -> None:
+    def is_counted() -> bool:
+        value = METRICS.get_sample_value(UNREADABLE, {"kind": "worker"})
+        return (value or 0) - context.unreadable == count
+
+    wait_until(is_counted, "the count of unreadable rows")
 
 
 @when("all {count:d} workers have been polled")
--- a/tests/actors/batch/store_actors_steps.py
+++ b/tests/actors/batch/store_actors_steps.py
@@ -32,7 +32,8 @@
     WatchTable,
 )
 from geraniumwell.model.batch.cluster import BatchPolicy
-from tests.actors.batch.scheduler_steps import Owner, make_entry
+from geraniumwell.platform.decode import decode_entry
+from tests.actors.batch.scheduler_steps import Owner
 from tests.support.processes import wait_until
 
 WAIT_SECONDS = 20.0
@@ -121,7 +122,7 @@
         lambda: context.store,
         lambda epoch, owner: None,
         "workers",
-        make_entry,
+        decode_entry,
     )
     context.requested = tuple(TablePartition("jobs", f"p{n}") for n in range(count))
     TableLoader.start(dependencies, context.owner).tell(LoadTables(context.requested))
--- a/tests/actors/batch/worker_connection_pool.feature
+++ b/tests/actors/batch/worker_connection_pool.feature
@@ -144,10 +144,11 @@
     And the connection pool still works
 
     Examples:
-      | part   |
-      | status |
-      | length |
-      | body   |
+      | part    |
+      | status  |
+      | length  |
+      | body    |
+      | nesting |
 
   # Guards against a registry entry that ends the actor.
   Scenario Outline: A registry entry with <what> fails only its own calls
--- a/tests/actors/batch/worker_connection_pool_steps.py
+++ b/tests/actors/batch/worker_connection_pool_steps.py
@@ -45,6 +45,10 @@
     "status": b"HTTP/1.1 abc\r\n\r\n",
     "length": b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n{}",
     "body": format_answer(["no", "report"]),
+    # Valid JSON that is nested more deeply than the decoder allows.
+    "nesting": b"HTTP/1.1 200 OK\r\nContent-Length: 30000\r\n\r\n"
+    + b"[" * 15_000
+    + b"]" * 15_000,
 }
 
 
