Count a job as begun only once a worker has begun it

Cause: the planning round set has_begun and removed the job from the pending jobs when it planned a start. A refusal, a start without an answer and a takeover before the start was sent left it so, and the progress row kept it. Stale copies of the counts were ruled out: the scheduling daemon gave 0 too.

--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -86,6 +86,19 @@
     cluster.changed_jobs.add(job_id)
 
 
+def record_begin(cluster: Cluster, job_id: str) -> None:
+    """Record that a worker has begun a task of a job.
+
+    A start that is only planned may be refused, or may never be sent.
+    """
+    job = cluster.jobs.get(job_id)
+    if job is None or job.has_begun:
+        return
+    job.has_begun = True
+    cluster.pending_jobs.pop(job_id, None)
+    cluster.unsaved_jobs.add(job_id)
+
+
 def open_due_occurrences(job: Job, wall_now: float) -> bool:
     """Create the steps of due occurrences, up to the task limit of a job.
 
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -241,8 +241,6 @@
             )
         allocate(cluster, capacity, unit, count)
     step.broken_at = 0.0
-    job.has_begun = True
-    cluster.pending_jobs.pop(job.spec.id, None)
     mark_job_unsaved(cluster, job.spec.id)
     return orders
 
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -208,7 +208,7 @@
     opened_occurrences : int
         Number of occurrences whose steps have been created.
     has_begun : bool
-        Whether any task was ever started.
+        Whether a worker has begun any task.
     ended_at : float
         Unix time at which the job ended; 0 before that.
     sequence : int
--- a/tests/commands/batch/answers_steps.py
+++ b/tests/commands/batch/answers_steps.py
@@ -3,11 +3,24 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from geraniumwell.commands.batch.answers import handle_unsent_start, is_start_wanted
+from geraniumwell.codec.batch import decode_progress, decode_state, encode_progress
+from geraniumwell.commands.batch.answers import (
+    apply_start_answer,
+    apply_unanswered_start,
+    handle_unsent_start,
+    is_start_wanted,
+)
 from geraniumwell.commands.batch.capacity import is_eligible
+from geraniumwell.commands.batch.lifecycle import request_stop
+from geraniumwell.commands.batch.planning import plan
+from geraniumwell.commands.batch.registry import restore_job
 from geraniumwell.model.batch.cluster import StartTask
 from geraniumwell.model.batch.job import Phase
-from tests.support.batch import list_tasks
+from geraniumwell.model.batch.worker import EndedTask, EndKind, RunningTask, StartResult
+from geraniumwell.queries.batch.status import count_pending, get_state
+from tests.support.batch import WALL, list_tasks, make_cluster, report
+
+ANSWERED_AT = 1.5
 
 
 def make_order(context: Context, index: int, name: str) -> StartTask:
@@ -47,3 +60,81 @@
 def step_may_receive(context: Context, names: str, now: float) -> None:
     for name in names.split():
         assert is_eligible(context.cluster.workers[name], now), name
+
+
+@when('the start of "{name}" is planned at second {now:g}')
+def step_plan_start(context: Context, name: str, now: float) -> None:
+    (context.order,) = plan(context.cluster, now, WALL + now)
+    assert isinstance(context.order, StartTask)
+    list_tasks(context.cluster, name)[0].is_start_sent = True
+
+
+def answer_start(context: Context, result: StartResult) -> None:
+    """Apply a worker's response to the planned start order."""
+    apply_start_answer(context.cluster, context.order, result, ANSWERED_AT)
+
+
+@when('the start order for task 0 of "{name}" is refused')
+def step_refused(context: Context, name: str) -> None:
+    answer_start(context, StartResult.REFUSED)
+
+
+@when('the start order for task 0 of "{name}" is refused for no room')
+def step_no_room(context: Context, name: str) -> None:
+    answer_start(context, StartResult.NO_CAPACITY)
+
+
+@when('the start order for task 0 of "{name}" is accepted')
+def step_accepted(context: Context, name: str) -> None:
+    answer_start(context, StartResult.STARTED)
+
+
+@when('the start order for task 0 of "{name}" gets no answer')
+def step_no_answer_to_start(context: Context, name: str) -> None:
+    apply_unanswered_start(context.cluster, context.order, ANSWERED_AT)
+
+
+@when('a run of "{name}" is accepted after its task was stopped')
+def step_accepted_after_stop(context: Context, name: str) -> None:
+    request_stop(context.cluster, list_tasks(context.cluster, name)[0], ANSWERED_AT)
+    answer_start(context, StartResult.STARTED)
+
+
+@when('the worker "{worker}" reports the run of "{name}" as running')
+def step_reports_running(context: Context, worker: str, name: str) -> None:
+    running = (RunningTask(context.order.id, context.order.run, "", 10),)
+    report(context.cluster, worker, ANSWERED_AT, running)
+
+
+@when('the worker "{worker}" reports the run of "{name}" as failed')
+def step_reports_failed(context: Context, worker: str, name: str) -> None:
+    end = EndedTask(1, context.order.id, context.order.run, EndKind.FAILED, "")
+    report(context.cluster, worker, ANSWERED_AT, ended=(end,))
+
+
+@when('another scheduler restores the job "{name}"')
+def step_restore(context: Context, name: str) -> None:
+    job = context.cluster.jobs[name]
+    stored = encode_progress(job)
+    context.cluster = make_cluster("r1")
+    restore_job(context.cluster, decode_progress(stored, job.spec), ANSWERED_AT)
+
+
+def check_progress(context: Context, name: str, state: str, count: int) -> None:
+    """Check the state that callers see, its stored form and the pending count."""
+    job = context.cluster.jobs[name]
+    assert get_state(job).value == state
+    assert decode_state(encode_progress(job))[1] == (state == "running")
+    assert count_pending(context.cluster).get(job.spec.queue, 0) == count
+
+
+@then('the job "{name}" is "{state}" and counts as pending')
+def step_is_pending(context: Context, name: str, state: str) -> None:
+    check_progress(context, name, state, 1)
+
+
+@then('the job "{name}" is "{state}" and does not count as pending')
+def step_is_not_pending(context: Context, name: str, state: str) -> None:
+    check_progress(context, name, state, 0)
+    # The change has to be stored, because callers may ask any daemon.
+    assert name in context.cluster.unsaved_jobs
