Keep the counts of pending jobs through a takeover

Cause: a scheduler counted its empty cluster before the load, and stored that count with its first transaction, so that all daemons gave it. A daemon that lost the claim, or had not read it yet, gave 0 as well; one whose scheduler did not answer in time gave counts from before its claim.

--- a/geraniumwell/actors/batch/elector.py
+++ b/geraniumwell/actors/batch/elector.py
@@ -1,6 +1,5 @@
 """Actor that decides whether this daemon schedules."""
 
-from contextlib import suppress
 from typing import Any
 
 from pykka import ActorDeadError, ActorRef, Timeout
@@ -115,8 +114,8 @@
                 self._evacuated = data_centres
                 if self._scheduler is not None:
                     tell(self._scheduler, message)
-            case SchedulerEnded(epoch, reason):
-                self._step_down(epoch, reason)
+            case SchedulerEnded(epoch, reason, pending):
+                self._step_down(epoch, reason, pending)
             case ReleaseClaim():
                 self._is_releasing = True
                 if self._scheduler is not None:
@@ -125,17 +124,22 @@
                 return self._count_pending()
         return None
 
-    def _count_pending(self) -> dict[str, int]:
-        if self._scheduler is not None:
-            with suppress(Timeout, ActorDeadError):
-                return self._scheduler.ask(
-                    CountPendingJobs(), timeout=PENDING_COUNT_TIMEOUT_SECONDS
-                )
-        # As last read from the store: about one renewal old, or from before this
-        # daemon's claim if it schedules.
-        return self._observation.row.pending if self._observation.row else {}
-
-    def _step_down(self, epoch: int, reason: str) -> None:
+    def _count_pending(self) -> dict[str, int] | None:
+        """Return the number of pending jobs of each queue, or None if it is unknown."""
+        if self._scheduler is None:
+            # As last read from the store, so about one renewal old.
+            return self._observation.row.pending if self._observation.row else None
+        try:
+            return self._scheduler.ask(
+                CountPendingJobs(), timeout=PENDING_COUNT_TIMEOUT_SECONDS
+            )
+        except (Timeout, ActorDeadError):
+            # The row was last read before this daemon's claim, so its counts are old.
+            return None
+
+    def _step_down(
+        self, epoch: int, reason: str, pending: dict[str, int] | None
+    ) -> None:
         """Watch the claim again, unless the message is about an earlier scheduler."""
         if epoch != self._epoch:
             return
@@ -143,11 +147,15 @@
         CLAIMS.labels("ended").inc()
         IS_SCHEDULING.set(0)
         self._scheduler = None
-        self._observation = LeaderObservation()
+        # The claim is read anew; until then the last counts hold.
+        row = None if pending is None else LeaderRow("", epoch, 0, pending)
+        self._observation = LeaderObservation(row)
 
     def _watch(self) -> None:
         if self._scheduler is not None and not self._scheduler.is_alive():
-            self._step_down(self._epoch, "the scheduler stopped without a message")
+            self._step_down(
+                self._epoch, "the scheduler stopped without a message", None
+            )
         if self._scheduler is not None:
             self._hand_over(boottime_seconds())
             return
@@ -201,7 +209,8 @@
         except CodecError as exc:
             # The next claim replaces the row and must have a higher epoch.
             EVENT_LOG.write("row_unreadable", key=LEADER_KEY, detail=str(exc))
-            row = LeaderRow("", found.version, 0, {})
+            before = self._observation.row
+            row = LeaderRow("", found.version, 0, before.pending if before else {})
         record_leader_row(self._observation, row, found.version, now)
 
     def _claim(self, now: float) -> None:
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -126,6 +126,7 @@
         self._deps = deps
         self._owner = owner
         self._cluster = Cluster(claim.row.epoch, deps.policy, catalog, evacuated)
+        self._cluster.earlier_pending = claim.row.pending
         self._commits: CommitState = make_commit_state(claim)
         self._row_applier = RowApplier(self._cluster, deps.decode_entry)
         self._is_loaded = False
@@ -156,7 +157,7 @@
         """Let another daemon take over."""
         EVENT_LOG.write("scheduler_failed", detail=f"{exception_type.__name__}: {exc}")
         self.on_stop()
-        tell(self._owner, SchedulerEnded(self._cluster.epoch, "failed"))
+        self._report_end("failed")
 
     def on_receive(self, message: Any) -> Any:
         """Handle one message."""
@@ -214,6 +215,7 @@
         self._row_applier.apply_registry(registry.rows, now)
         self._row_applier.restore_jobs(jobs, progress.rows, now)
         self._dispatch(self._row_applier.apply_jobs(jobs, now, wall_now))
+        self._cluster.earlier_pending = None
         self._is_loaded = True
         self._request_plan()
         self._feeds = start_feeds(
@@ -280,9 +282,13 @@
         self._is_ended = True
         self._commits.valid_until = 0.0
         EVENT_LOG.write("scheduler_ended", epoch=self._cluster.epoch, reason=reason)
-        tell(self._owner, SchedulerEnded(self._cluster.epoch, reason))
+        self._report_end(reason)
         self.stop()
 
+    def _report_end(self, reason: str) -> None:
+        pending = count_pending(self._cluster)
+        tell(self._owner, SchedulerEnded(self._cluster.epoch, reason, pending))
+
     def _renew(self) -> None:
         """Send the next transaction once it is due."""
         state, now = self._commits, boottime_seconds()
--- a/geraniumwell/messages/batch.py
+++ b/geraniumwell/messages/batch.py
@@ -163,10 +163,17 @@
 
 @dataclass(slots=True, frozen=True)
 class SchedulerEnded:
-    """The scheduler of an epoch has ended."""
+    """The scheduler of an epoch has ended.
+
+    Parameters
+    ----------
+    pending : dict
+        Number of jobs that had not begun, by queue.
+    """
 
     epoch: int
     reason: str
+    pending: dict[str, int]
 
 
 @dataclass(slots=True, frozen=True)
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -57,6 +57,9 @@
         Ids of the jobs with occurrences that have not been opened.
     pending_jobs : dict
         Queue of each job that has not begun, by job id.
+    earlier_pending : dict or None
+        Number of pending jobs of each queue as the earlier scheduler stored them, until
+        the stored jobs are loaded; None after that.
     registered_count : int
         Number of jobs registered so far, accepted or restored.
     """
@@ -77,6 +80,7 @@
     broken_gangs: set[StepKey] = field(default_factory=set)
     jobs_with_unopened_occurrences: set[str] = field(default_factory=set)
     pending_jobs: dict[str, str] = field(default_factory=dict)
+    earlier_pending: dict[str, int] | None = None
     registered_count: int = 0
     fleet: FleetIndex = field(default_factory=FleetIndex)
     queue: UnitQueue = field(default_factory=UnitQueue)
--- a/geraniumwell/queries/batch/status.py
+++ b/geraniumwell/queries/batch/status.py
@@ -15,4 +15,6 @@
 
 def count_pending(cluster: Cluster) -> dict[str, int]:
     """Return the number of jobs that have not begun, by queue."""
+    if cluster.earlier_pending is not None:
+        return cluster.earlier_pending
     return dict(Counter(cluster.pending_jobs.values()))
--- a/tests/actors/batch/elector.feature
+++ b/tests/actors/batch/elector.feature
@@ -9,6 +9,21 @@
     When "a" watches the claim
     Then it takes the claim no sooner than 1.1 seconds after the renewal
 
+  # Guards against callers that are told that no job is pending by a daemon that does not
+  # know.
+  Scenario: A daemon that has not read the claim gives no counts of pending jobs
+    Given a store whose next 1000 reads raise an unexpected error
+    When "a" watches the claim
+    Then it has no counts of pending jobs
+
+  # Guards against a daemon that loses the claim and then counts no pending jobs until it
+  # reads the claim of its successor.
+  Scenario: A daemon whose scheduler has ended keeps the last counts of pending jobs
+    Given a store that answers the first read after 0 seconds
+    When "a" watches the claim
+    And its scheduler ends with 2 pending jobs of "renders"
+    Then it counts 2 pending jobs of "renders" until the claim is read again
+
   Scenario: An unexpected error does not stop the watching of the claim
     Otherwise the daemon appears healthy but never schedules again.
 
--- a/tests/actors/batch/elector_steps.py
+++ b/tests/actors/batch/elector_steps.py
@@ -21,7 +21,11 @@
 from geraniumwell.clients.table_relay import PeerDirectory
 from geraniumwell.codec.batch import decode_leader, encode_leader, encode_peer
 from geraniumwell.const import LEADER_KEY, TABLE_CONTROL, TABLE_DAEMONS
-from geraniumwell.messages.batch import CatalogChanged
+from geraniumwell.messages.batch import (
+    CatalogChanged,
+    CountPendingJobs,
+    SchedulerEnded,
+)
 from geraniumwell.model.batch.cluster import BatchPolicy
 from geraniumwell.model.batch.leader import LeaderRow
 from geraniumwell.model.batch.peer import Peer
@@ -32,6 +36,7 @@
 from tests.support.processes import find_free_port, wait_until
 
 WAIT_SECONDS = 20.0
+FAILING_READS = 1_000
 
 
 class ScriptedStore:
@@ -64,6 +69,10 @@
         self.row = StoredRow(TABLE_CONTROL, LEADER_KEY, value, 7)
         self._renews_on_read = True
 
+    def fail_reads(self) -> None:
+        """Let all further reads raise an unexpected error."""
+        self._errors = FAILING_READS
+
     def read(
         self, table: str, first: str = "", limit: int = 0, part: str = ""
     ) -> RowRange:
@@ -184,6 +193,7 @@
     elector = Elector.start(name, dependencies, directory, cores)
     elector.tell(CatalogChanged(make_test_catalog()))
     context.add_cleanup(elector.stop)
+    context.elector = elector
 
 
 @then("it takes the claim no sooner than {seconds:g} seconds after the renewal")
@@ -215,6 +225,25 @@
     assert not context.store.was_released.is_set()
 
 
+@then("it has no counts of pending jobs")
+def step_no_counts(context: Context) -> None:
+    counts = context.elector.ask(CountPendingJobs(), timeout=WAIT_SECONDS)
+    assert counts is None, counts
+
+
+@when('its scheduler ends with {count:d} pending jobs of "{queue}"')
+def step_scheduler_ends(context: Context, count: int, queue: str) -> None:
+    assert context.store.claimed_at.get(timeout=WAIT_SECONDS)
+    context.store.fail_reads()
+    context.elector.tell(SchedulerEnded(1, "injected", {queue: count}))
+
+
+@then('it counts {count:d} pending jobs of "{queue}" until the claim is read again')
+def step_last_counts(context: Context, count: int, queue: str) -> None:
+    counts = context.elector.ask(CountPendingJobs(), timeout=WAIT_SECONDS)
+    assert counts == {queue: count}, counts
+
+
 @given('a store with the row of daemon "{name}" and one unreadable row')
 def step_daemon_rows(context: Context, name: str) -> None:
     context.store = ScriptedStore()
--- a/tests/actors/batch/scheduler.feature
+++ b/tests/actors/batch/scheduler.feature
@@ -37,6 +37,16 @@
     When a job is submitted to the store
     Then the job's task is started on the worker
 
+  # Guards against callers that are told that no job is pending after a takeover.
+  Scenario: A scheduler that has not loaded the stored jobs gives the earlier counts
+    Given a scheduler whose store reads are blocked
+    Then it counts 3 pending jobs of "renders"
+    And its first transaction contains 3 pending jobs of "renders"
+    When the store answers the reads
+    And a job is submitted to the store
+    Then the job's task is started on the worker
+    And it counts 0 pending jobs of "renders"
+
   Scenario: Idle workers do not occupy threads
     With one thread for each worker the scheduler exceeded the thread limit of its
     process: with 3,000 workers each daemon in turn took the claim and failed, and no job
--- a/tests/actors/batch/scheduler_steps.py
+++ b/tests/actors/batch/scheduler_steps.py
@@ -20,12 +20,13 @@
     TableTransaction,
 )
 from geraniumwell.clients.task_worker import PollCall, StartAnswer, StartCall
-from geraniumwell.codec.batch import encode_spec, find_job_partition
+from geraniumwell.codec.batch import decode_leader, encode_spec, find_job_partition
 from geraniumwell.const import TABLE_JOBS
 from geraniumwell.messages.batch import (
     ActorFailed,
     CallWorker,
     CatalogChanged,
+    CountPendingJobs,
     EvacuationsChanged,
     LeaderClaim,
     PollAnswered,
@@ -55,12 +56,13 @@
 class MemoryStore:
     """In-memory store; reads block until they are allowed."""
 
-    __slots__ = ("_changed", "_version", "may_read", "rows")
+    __slots__ = ("_changed", "_version", "commits", "may_read", "rows")
 
     def __init__(self) -> None:
         self._changed = Condition()
         self.rows: list[tuple[str, StoredRow]] = []
         self._version = 1
+        self.commits: SimpleQueue[TableTransaction] = SimpleQueue()
         self.may_read = Event()
 
     def put(self, table: str, part: str, key: str, value: bytes) -> None:
@@ -72,6 +74,7 @@
 
     def commit(self, transaction: TableTransaction) -> Committed:
         """Accept every transaction."""
+        self.commits.put(transaction)
         with self._changed:
             self._version += 1
             return Committed(self._version)
@@ -164,7 +167,7 @@
         REGISTRY,
         decode_entry,
     )
-    claim = LeaderClaim(LeaderRow("a/1", 1, 0, {}), 1, boottime_seconds())
+    claim = LeaderClaim(LeaderRow("a/1", 1, 0, {"renders": 3}), 1, boottime_seconds())
     context.owner = Owner.start(context.received)
     context.scheduler = Scheduler.start(
         claim, make_test_catalog(), frozenset(), dependencies, context.owner
@@ -243,6 +246,19 @@
     assert active_count() - context.threads <= most, active_count()
 
 
+@then('it counts {count:d} pending jobs of "{queue}"')
+def step_counts(context: Context, count: int, queue: str) -> None:
+    counts = context.scheduler.ask(CountPendingJobs(), timeout=WAIT_SECONDS)
+    assert counts.get(queue, 0) == count, counts
+
+
+@then('its first transaction contains {count:d} pending jobs of "{queue}"')
+def step_stores_counts(context: Context, count: int, queue: str) -> None:
+    transaction = context.store.commits.get(timeout=WAIT_SECONDS)
+    row = decode_leader(transaction.writes[0].value)
+    assert row.pending == {queue: count}, row
+
+
 @when("one of its child actors fails")
 def step_actor_failed(context: Context) -> None:
     context.scheduler.tell(ActorFailed("TableFeed"))
