Keep tasks whose end a full list of ends may leave out

Cause: a worker returns at most 500 ends in a response. A task whose run was neither running nor among these was released as lost and started again; its end, listed by a later poll, was ignored because the run number differed. Leases were ruled out: none expired, and no process restarted.

Change: a report with 500 ends or more is marked as possibly cut off, and no run is taken for gone because of it. This also holds for gangs and for tasks that a new scheduler has restored. The stand-in worker lists 500 ends at a time, as the protocol says; it listed all of them.

--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -47,7 +47,7 @@
     ----------
     sent_at : float
         Time at which the poll was sent. A run whose start was settled before that and
-        that is not in the report no longer exists.
+        that is not in a complete report no longer exists.
     """
     cluster.mark_worker_changed(worker.entry.id)
     record_incarnation(cluster, worker, report.started_ms, now)
@@ -69,6 +69,9 @@
             continue
         if task.phase is Phase.DONE:
             release_task(cluster, task)
+        elif report.may_have_more_ends:
+            # The run may have ended as done; a later report will contain its end.
+            continue
         elif task.start_settled_at is not None and task.start_settled_at < sent_at:
             release_task(cluster, task)
             mark_gang_broken(cluster, task, now)
--- a/geraniumwell/model/batch/worker.py
+++ b/geraniumwell/model/batch/worker.py
@@ -85,12 +85,16 @@
         The worker's monotonic clock when it responded.
     started_ms : int
         Unix time at which this incarnation of the worker started; 0 if unknown.
+    may_have_more_ends : bool
+        Whether ``ended`` may be cut off. A run that is in neither list may then have
+        ended.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     started_ms: int = 0
+    may_have_more_ends: bool = False
 
 
 class StartResult(Enum):
--- a/geraniumwell/platform/decode.py
+++ b/geraniumwell/platform/decode.py
@@ -34,6 +34,8 @@
 # The progress of more tasks would not fit into one row.
 TASK_LIMIT = 2_000
 OCCURRENCE_LIMIT = 10_000
+# A worker returns at most this number of ends in one response.
+ENDS_PER_RESPONSE = 500
 
 
 def decode_catalog(data: bytes) -> Catalog:
@@ -206,7 +208,8 @@
         ended = tuple(_make_ended(row) for row in wire.ended)
     except (ValueError, TypeError, IndexError, OverflowError) as exc:
         raise CodecError(f"invalid run in the report of a worker: {exc}") from exc
-    return WorkerReport(wire.clock_ms, running, ended, wire.born)
+    may_have_more = len(ended) >= ENDS_PER_RESPONSE
+    return WorkerReport(wire.clock_ms, running, ended, wire.born, may_have_more)
 
 
 def _make_running(row: tuple[Any, ...]) -> RunningTask:
--- a/stand_ins/task_worker.py
+++ b/stand_ins/task_worker.py
@@ -28,6 +28,7 @@
 HEARTBEAT_SECONDS = 0.5
 LEASE_LIMIT_MS = 10_000
 CAPACITY = {"Cpu": 16_000, "MemMb": 64_000, "Gpu": 8}
+ENDS_PER_RESPONSE = 500
 
 
 @dataclass(slots=True)
@@ -184,7 +185,7 @@
             response = {
                 "ClockMs": self.clock_ms(),
                 "Running": [self._describe_run(run) for run in self.runs.values()],
-                "Ended": list(self.ended),
+                "Ended": self.ended[:ENDS_PER_RESPONSE],
                 "born": self.born_ms,
             }
         send_json(handler, 200, response)
--- a/tests/actors/batch/whole_path.feature
+++ b/tests/actors/batch/whole_path.feature
@@ -25,6 +25,18 @@
     And each task completed exactly once
     And no task was started twice
 
+  Scenario: Tasks that ended while the store was down run only once
+    A worker lists 500 ends at a time. Tasks whose ends were beyond these were started again.
+
+    Given 2 daemons and 1 workers whose tasks take 6 seconds
+    When the job "00000000000000a1" of 600 small tasks is submitted to "d1"
+    And its 600 tasks have started
+    And the store refuses all calls
+    And its 600 tasks have ended, over 500 of them without acknowledgement
+    And the store recovers
+    Then the job "00000000000000a1" reaches the state "done" on "d2"
+    And its 600 tasks were started once each
+
   # Guards against orders of a former claim holder that resumes after a takeover.
   Scenario: A paused scheduling daemon has no effect after another one took over
     Given 2 daemons and 2 workers whose tasks take 3 seconds
--- a/tests/actors/batch/whole_path_steps.py
+++ b/tests/actors/batch/whole_path_steps.py
@@ -47,6 +47,26 @@
     assert status == 200, status
 
 
+@when('the job "{job}" of {tasks:d} small tasks is submitted to "{name}"')
+def step_submit_small(context: Context, job: str, tasks: int, name: str) -> None:
+    context.job = job
+    step = {"Count": tasks, "Cpu": 20, "MemMb": 1, "Gpu": 0}
+    assert get_installation(context).submit(name, job, **step) == 200
+
+
+@when("its {tasks:d} tasks have started")
+def step_all_started(context: Context, tasks: int) -> None:
+    wait_until(lambda: count(context, "start") == tasks, "the start of the tasks")
+
+
+@when(
+    "its {tasks:d} tasks have ended, over {waiting:d} of them without acknowledgement"
+)
+def step_ended_unnoted(context: Context, tasks: int, waiting: int) -> None:
+    wait_until(lambda: count(context, "done") == tasks, "the end of the tasks")
+    assert count(context, "done") - count(context, "noted") > waiting
+
+
 @when("its tasks have started")
 def step_started(context: Context) -> None:
     def is_started() -> bool:
@@ -248,6 +268,11 @@
     assert count(context, "start") == 2
 
 
+@then("its {tasks:d} tasks were started once each")
+def step_once_each(context: Context, tasks: int) -> None:
+    assert count(context, "start") == tasks, count(context, "start")
+
+
 def count(context: Context, what: str) -> int:
     """Return how often the workers recorded an event."""
     return sum(item["what"] == what for item in get_installation(context).read_record())
--- a/tests/commands/batch/ends.feature
+++ b/tests/commands/batch/ends.feature
@@ -140,3 +140,32 @@
     And the worker "w1" is not avoided at second 3
     When start orders to the worker "w1" fail at second 3
     Then the worker "w1" is avoided at second 5
+
+  Scenario: A run whose end is beyond the end of a cut-off list is not started again
+    Guards against a second run of a task that is done. A worker lists a limited number of
+    ends at a time, so the end of a run may be missing while more ends wait.
+
+    Given a job "j" of 1 tasks with 1 accelerators
+    And the scheduler planned at second 1
+    When the worker of "j" reports no runs and a cut-off list of ends at second 2
+    Then the task of "j" is still placed
+    When the scheduler plans at second 2
+    Then no task is started
+    When the task 0 of "j" ends as "done" at second 3
+    Then the job "j" is "done"
+
+  Scenario: A gang is not stopped because of a cut-off list of ends
+    Given a gang job "g" of 2 tasks with 8 accelerators
+    And the scheduler planned at second 1
+    When the worker of "g" reports no runs and a cut-off list of ends at second 2
+    And the scheduler plans at second 4
+    Then no order is issued
+
+  Scenario: A restored run is not started again because of a cut-off list of ends
+    Given a job "j" of 1 tasks with 1 accelerators
+    And the scheduler planned at second 1
+    And another scheduler has restored "j" at second 2
+    When the worker of "j" reports no runs and a cut-off list of ends at second 3
+    Then the task of "j" is still placed
+    When the worker of "j" reports no runs at second 4
+    Then the task of "j" is waiting and assigned to no worker
--- a/tests/commands/batch/ends_steps.py
+++ b/tests/commands/batch/ends_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from geraniumwell.codec.batch import decode_progress, encode_progress
 from geraniumwell.commands.batch.acknowledgement import may_acknowledge
 from geraniumwell.commands.batch.answers import (
     apply_start_answer,
@@ -11,6 +12,7 @@
 )
 from geraniumwell.commands.batch.capacity import is_eligible
 from geraniumwell.commands.batch.health import record_refusal
+from geraniumwell.commands.batch.registry import restore_job
 from geraniumwell.model.batch.cluster import StartTask, StopTask
 from geraniumwell.model.batch.job import PLACED_PHASES, Phase, Task, TaskId
 from geraniumwell.model.batch.worker import EndedTask, EndKind, RunningTask, StartResult
@@ -18,6 +20,7 @@
 from tests.support.batch import (
     end_task,
     list_tasks,
+    make_cluster,
     make_job,
     make_step,
     report,
@@ -96,6 +99,23 @@
     report(context.cluster, first_task(context, name).worker, now)
 
 
+@when(
+    'the worker of "{name}" reports no runs and a cut-off list of ends at second'
+    " {now:g}"
+)
+def step_reports_cut_off(context: Context, name: str, now: float) -> None:
+    worker = first_task(context, name).worker
+    report(context.cluster, worker, now, may_have_more_ends=True)
+
+
+@given('another scheduler has restored "{name}" at second {now:g}')
+def step_restored(context: Context, name: str, now: float) -> None:
+    job = context.cluster.jobs[name]
+    stored = encode_progress(job)
+    context.cluster = make_cluster("r1 r1")
+    restore_job(context.cluster, decode_progress(stored, job.spec), now)
+
+
 @when(
     'the worker of "{name}", polled at second {at:g}, reports no runs at second {now:g}'
 )
--- a/tests/platform/decode.feature
+++ b/tests/platform/decode.feature
@@ -51,6 +51,18 @@
     When the worker report {"ClockMs":9,"Running":[["00aa",2,"",41]]} is decoded
     Then the body is rejected
 
+  # Guards against a cut-off list of ends that is taken for a complete one.
+  Scenario Outline: A worker report with <count> ends <may> have more of them
+    When a worker report with <count> ends is decoded
+    Then there <may> be more ends than the report contains
+
+    Examples:
+      | count | may     |
+      | 0     | can not |
+      | 499   | can not |
+      | 500   | may     |
+      | 501   | may     |
+
   # Guards against the evacuation of a data centre that no row requests.
   Scenario Outline: The key of an operator row names the data centre to evacuate, or none
     Then the operator row "<key>" requests the evacuation of "<data centre>"
--- a/tests/platform/decode_steps.py
+++ b/tests/platform/decode_steps.py
@@ -5,6 +5,7 @@
 
 from behave import then, when
 from behave.runner import Context
+from msgspec.json import encode
 
 from geraniumwell.codec.json import CodecError
 from geraniumwell.platform.decode import (
@@ -41,6 +42,18 @@
     decode_body(context, decode_report, body.encode())
 
 
+@when("a worker report with {count:d} ends is decoded")
+def step_decode_ends(context: Context, count: int) -> None:
+    ended = [[n, f"00aa.0.0.{n}", 1, "done", ""] for n in range(1, count + 1)]
+    body = encode({"ClockMs": 9, "Running": [], "Ended": ended})
+    decode_body(context, decode_report, body)
+
+
+@then("there {may} be more ends than the report contains")
+def step_more_ends(context: Context, may: str) -> None:
+    assert context.value.may_have_more_ends == (may == "may")
+
+
 @then("the body is rejected")
 def step_rejected(context: Context) -> None:
     assert context.error is not None, context.value
--- a/tests/support/batch.py
+++ b/tests/support/batch.py
@@ -131,12 +131,13 @@
     sent_at: float | None = None,
     started_ms: int = 1,
     answered_at: float | None = None,
+    may_have_more_ends: bool = False,
 ) -> list[Order]:
     """Apply a worker's report in response to a poll that was sent at ``sent_at``."""
     worker = cluster.workers[name]
     answered = now if answered_at is None else answered_at
     worker_report = WorkerReport(
-        int(1000 + answered * 1000), running, ended, started_ms
+        int(1000 + answered * 1000), running, ended, started_ms, may_have_more_ends
     )
     asked = answered if sent_at is None else sent_at
     return apply_report(cluster, worker, worker_report, asked, now, WALL + now)
