Start a long-running task again when it ends as done

Cause: apply_end marked a task that ended as done in the same way for all steps. Only failures looked at is_long_running. Missing capacity and a takeover were ruled out: the same scheduler restarted the failed task beside it on idle workers.

Change: done ends a run of a long-running task, not the task. The same holds for a gang, and for tasks that an earlier version has stored as done.

--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -147,14 +147,21 @@
     if end.checkpoint:
         task.checkpoint = end.checkpoint
     match end.kind:
-        case EndKind.DONE:
+        case EndKind.DONE if not step.spec.is_long_running:
             record_success(worker)
             _apply_done(cluster, job, step, task, wall_now)
         case EndKind.FAILED:
             record_failure(worker, task, now)
             mark_gang_broken(cluster, task, now)
             return _apply_failure(cluster, job, step, task, end.run, now, wall_now)
-        case EndKind.STOPPED | EndKind.LAPSED | EndKind.BROKEN | EndKind.ALONE:
+        case (
+            EndKind.DONE
+            | EndKind.STOPPED
+            | EndKind.LAPSED
+            | EndKind.BROKEN
+            | EndKind.ALONE
+        ):
+            # Also a long-running task that is done: only a cancellation ends its job.
             mark_gang_broken(cluster, task, now)
     return []
 
--- a/geraniumwell/commands/batch/registry.py
+++ b/geraniumwell/commands/batch/registry.py
@@ -74,6 +74,9 @@
     register_job(cluster, job)
     for step in job.steps.values():
         for task in step.tasks:
+            if step.spec.is_long_running and task.phase is Phase.DONE:
+                # Stored by a version that did not restart it.
+                task.phase = Phase.WAITING
             if task.worker:
                 restore_task(cluster, task, now)
 
--- a/tests/commands/batch/ends.feature
+++ b/tests/commands/batch/ends.feature
@@ -52,6 +52,35 @@
     And the task of "web" has failed 5 times
     Then the job "web" is "running"
 
+  # Guards against a service that stays down because its task ended without an error.
+  Scenario: A long-running task that ends as done is started again
+    Given a long-running job "web" with a latency target
+    And the scheduler planned at second 1
+    When the task 0 of "web" ends as "done" at second 2
+    Then the job "web" is "running"
+    When the scheduler plans at second 2
+    Then the job "web" has 1 started tasks with run 2
+
+  # Guards against a new scheduler that takes a long-running task for finished.
+  Scenario: A long-running task that an earlier version stored as done is started again
+    Given a long-running job "web" with a latency target
+    And the scheduler planned at second 1
+    And the task of "web" is stored as done
+    And another scheduler has restored "web" at second 2
+    When the scheduler plans at second 3
+    Then the job "web" has 1 started tasks with run 2
+
+  # Guards against a gang of which only some members are started again.
+  Scenario: A long-running gang that ends as done is started again as a whole
+    Given a long-running gang job "g" of 2 tasks
+    And the scheduler planned at second 1
+    When the task 0 of "g" ends as "done" at second 2
+    And the scheduler plans at second 2
+    Then no task is started
+    When the task 1 of "g" ends as "done" at second 2.1
+    And the scheduler plans at second 2.2
+    Then the job "g" has 2 started tasks with run 2
+
   Scenario: An unanswered start order keeps its worker reserved until its outcome is known
     Given a job "j" of 1 tasks with 1 accelerators
     And the scheduler planned at second 1
--- a/tests/commands/batch/ends_steps.py
+++ b/tests/commands/batch/ends_steps.py
@@ -12,6 +12,7 @@
 )
 from geraniumwell.commands.batch.capacity import is_eligible
 from geraniumwell.commands.batch.health import record_refusal
+from geraniumwell.commands.batch.lifecycle import release_task
 from geraniumwell.commands.batch.registry import restore_job
 from geraniumwell.model.batch.cluster import StartTask, StopTask
 from geraniumwell.model.batch.job import PLACED_PHASES, Phase, Task, TaskId
@@ -108,6 +109,19 @@
     report(context.cluster, worker, now, may_have_more_ends=True)
 
 
+@given('the task of "{name}" is stored as done')
+def step_stored_as_done(context: Context, name: str) -> None:
+    task = first_task(context, name)
+    release_task(context.cluster, task)
+    task.phase = Phase.DONE
+
+
+@given('a long-running gang job "{name}" of {count:d} tasks')
+def step_long_running_gang(context: Context, name: str, count: int) -> None:
+    step = make_step(count, 8, is_gang=True, is_long_running=True)
+    submit(context.cluster, make_job(name, step))
+
+
 @given('another scheduler has restored "{name}" at second {now:g}')
 def step_restored(context: Context, name: str, now: float) -> None:
     job = context.cluster.jobs[name]
