Reject odd entries of workers and don't take them for a partition

Here two entries with a port out of range, or a name as address, stopped all starts in their data centre: a job was not started on two idle workers within 60 s (LOST).

Cause: the entries counted as workers whose calls fail. Two unanswered workers in a data centre without a newer answer count as a partition, and idle workers are not polled. On related paths, a job with a number of over 64 bits raised OverflowError in the request thread, and times that are not finite were accepted.

Change: an entry needs an IP address and a port of 1 to 65535; numbers in entries, reports, jobs and the configuration have limits; a worker that never answered this scheduler is no sign of a partition.

--- a/geraniumwell/commands/batch/health.py
+++ b/geraniumwell/commands/batch/health.py
@@ -87,10 +87,12 @@
     for worker in workers:
         name = worker.entry.data_centre
         last_answers[name] = max(last_answers.get(name, 0.0), worker.last_answer_at)
+    # A worker that has never answered may not exist: it is no sign of a partition.
     unresponsive = Counter(
         worker.entry.data_centre
         for worker in workers
-        if worker.unresponsive_at > last_answers[worker.entry.data_centre]
+        if worker.has_confirmed_epoch
+        and worker.unresponsive_at > last_answers[worker.entry.data_centre]
     )
     return frozenset(
         name
--- a/geraniumwell/platform/decode.py
+++ b/geraniumwell/platform/decode.py
@@ -1,5 +1,6 @@
 """Conversion between bodies of the platform's protocol and internal types."""
 
+from ipaddress import IPv4Address
 from typing import Any
 
 from geraniumwell.codec.json import CodecError
@@ -19,6 +20,7 @@
     WorkerReport,
 )
 from geraniumwell.platform.wire import (
+    MAX_NUMBER,
     WireConfig,
     WireJob,
     WireRoute,
@@ -29,6 +31,7 @@
 )
 
 WORKER_STATES = ("ready", "draining")
+MAX_PORT = 65_535
 # Prefix of the operator's row keys that request the evacuation of a data centre.
 EVACUATION_PREFIX = "evacuate/"
 # The progress of more tasks would not fit into one row.
@@ -116,9 +119,6 @@
     for number, step in enumerate(wire.steps):
         if step.count < 1:
             raise CodecError(f"step {number} has no tasks")
-        # A negative amount would add capacity to the worker that runs the task.
-        if min(step.cpu, step.mem_mb, step.gpu, step.anti_affinity) < 0:
-            raise CodecError(f"step {number} requests a negative amount of a resource")
         if step.est_runtime_ms < 0:
             raise CodecError(f"step {number} has a negative estimated run time")
         if any(not 0 <= k < number for k in step.after):
@@ -154,8 +154,8 @@
     wire: WireServer = decode_wire(data, WireServer)
     if wire.state not in WORKER_STATES:
         raise CodecError(f"worker {worker_id} has the unknown state {wire.state!r}")
-    if ":" not in wire.address:
-        raise CodecError(f"worker {worker_id} has no address")
+    if not _is_address(wire.address):
+        raise CodecError(f"worker {worker_id} has the address {wire.address!r}")
     remaining_seconds = None if wire.remaining_ms is None else wire.remaining_ms / 1000
     return WorkerEntry(
         worker_id,
@@ -172,6 +172,16 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text is an ``ip:port`` to which a call can be made."""
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+        return 0 < int(port) <= MAX_PORT
+    except ValueError:
+        return False
+
+
 def format_task(task_id: TaskId) -> str:
     """Return the wire name of a task."""
     return f"{task_id.job}.{task_id.occurrence}.{task_id.step}.{task_id.index}"
@@ -214,13 +224,28 @@
 
 def _make_running(row: tuple[Any, ...]) -> RunningTask:
     checkpoint = _read_checkpoint(row[2])
-    return RunningTask(parse_task(row[0]), int(row[1]), checkpoint, int(row[3]))
+    return RunningTask(
+        parse_task(row[0]), _read_integer(row[1]), checkpoint, _read_integer(row[3])
+    )
 
 
 def _make_ended(row: tuple[Any, ...]) -> EndedTask:
     number, name, run, kind = row[:4]
     checkpoint = _read_checkpoint(row[4] if len(row) > 4 else "")
-    return EndedTask(int(number), parse_task(name), int(run), EndKind(kind), checkpoint)
+    return EndedTask(
+        _read_integer(number),
+        parse_task(name),
+        _read_integer(run),
+        EndKind(kind),
+        checkpoint,
+    )
+
+
+def _read_integer(value: Any) -> int:
+    number = int(value)
+    if abs(number) > MAX_NUMBER:
+        raise ValueError("a number is out of range")
+    return number
 
 
 def _read_checkpoint(value: Any) -> str:
--- a/geraniumwell/platform/wire.py
+++ b/geraniumwell/platform/wire.py
@@ -1,17 +1,24 @@
 """Bodies of the platform's protocol, as they are on the wire."""
 
-from typing import Any
+from typing import Annotated, Any, Final
 
-from msgspec import Struct, convert, field
+from msgspec import Meta, Struct, convert, field
 from msgspec.json import decode
 
 from geraniumwell.codec.json import DECODER_ERRORS, CodecError
 
+# Integers up to this one are exact as floats and fit into the 64 bits of a stored row.
+MAX_NUMBER: Final = 2**53
+Amount = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+Integer = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+# The limits leave out values that are not finite.
+Number = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 
 class WireQuota(Struct, rename="pascal"):
     """Guaranteed amounts of an organisation."""
 
-    gpu: int = 0
+    gpu: Amount = 0
 
 
 class WireTenant(Struct, rename="pascal"):
@@ -30,17 +37,17 @@
     path_prefix: str
     service: str
     # Added to the stretched run time of a job to get its latency objective.
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    target_latency_ms: Number = 0
+    priority: Integer = 0
+    max_attempts: Integer = 1
+    stretch: Number = 1.0
     public: bool = False
 
 
 class WireLimits(Struct, rename="pascal"):
     """Limits on calls of clients."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Integer = 262_144
 
 
 class WireConfig(Struct, rename="pascal"):
@@ -55,12 +62,12 @@
 class WireStep(Struct, rename="pascal"):
     """A step of a job."""
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_runtime_ms: float = 0
-    after: tuple[int, ...] = ()
+    count: Integer = 1
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    est_runtime_ms: Number = 0
+    after: tuple[Integer, ...] = ()
     gang: bool = False
     same_rack: bool = False
     # A label that the worker must have.
@@ -68,11 +75,11 @@
     # Rack that holds the data of the step.
     affinity: str = ""
     # Maximum number of tasks of the step on one worker.
-    anti_affinity: int = 0
+    anti_affinity: Amount = 0
     checkpointing: bool = False
     long_running: bool = False
     fills: bool = False
-    target_ms: int = 0
+    target_ms: Amount = 0
 
 
 class WireJob(Struct, rename="pascal"):
@@ -80,18 +87,18 @@
 
     spec: str = ""
     steps: tuple[WireStep, ...] = ()
-    repeats: int = 0
+    repeats: Integer = 0
     # Unix time of the first occurrence, not a delay.
-    initial_delay_ms: float = 0
-    period_ms: float = 0
+    initial_delay_ms: Number = 0
+    period_ms: Number = 0
 
 
 class WireCapacity(Struct, rename="pascal"):
     """Resources of a worker."""
 
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class WireServer(Struct, rename="pascal"):
@@ -103,24 +110,24 @@
     state: str
     capacity: WireCapacity
     labels: tuple[str, ...] = ()
-    remaining_ms: float | None = None
+    remaining_ms: Number | None = None
     # Unix time in milliseconds at which this incarnation of the worker started.
-    born: int = field(name="born", default=0)
+    born: Integer = field(name="born", default=0)
 
 
 class WireRuns(Struct, rename="pascal"):
     """Report of the runs of a worker; the runs are decoded one by one."""
 
-    clock_ms: int
+    clock_ms: Integer
     running: tuple[tuple[Any, ...], ...] = ()
     ended: tuple[tuple[Any, ...], ...] = ()
-    born: int = field(name="born", default=0)
+    born: Integer = field(name="born", default=0)
 
 
 class WireOrderAnswer(Struct, rename="pascal"):
     """Response of a worker to an order."""
 
-    clock_ms: int = 0
+    clock_ms: Integer = 0
     reason: str = ""
 
 
--- a/tests/actors/batch/whole_path.feature
+++ b/tests/actors/batch/whole_path.feature
@@ -37,6 +37,23 @@
     Then the job "00000000000000a1" reaches the state "done" on "d2"
     And its 600 tasks were started once each
 
+  Scenario Outline: Odd entries among those of the workers do not stop the starts
+    Guards against entries of another writer that count as workers. Two of them that never
+    answered made their data centre look partitioned, and it got no more starts.
+
+    Given 1 daemons and 2 workers whose tasks take 0.3 seconds
+    When another writer adds 2 entries with <field> <value>
+    Then 2 rows of the registry are counted as unreadable
+    When the job "00000000000000a1" is submitted to "d1"
+    Then the job "00000000000000a1" reaches the state "done" on "d1"
+
+    Examples:
+      | field   | value               |
+      | Address | "127.0.0.1:70000"   |
+      | Address | "127.0.0.1:0"       |
+      | Address | "worker.example:80" |
+      | born    | 1e400               |
+
   # Guards against orders of a former claim holder that resumes after a takeover.
   Scenario: A paused scheduling daemon has no effect after another one took over
     Given 2 daemons and 2 workers whose tasks take 3 seconds
--- a/tests/actors/batch/whole_path_steps.py
+++ b/tests/actors/batch/whole_path_steps.py
@@ -1,12 +1,16 @@
 """Steps of the path from client to worker, with real processes."""
 
+from base64 import b64decode
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from itertools import count as count_up
 from signal import SIGHUP
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
+from msgspec import Raw
+from msgspec.json import decode, encode
 from urllib3.exceptions import HTTPError
 
 from tests.support.batch_processes import (
@@ -20,6 +24,7 @@
 EVACUATED = "geraniumwell_batch_evacuated_data_centres"
 WAITING = "geraniumwell_batch_jobs_waiting"
 ROUNDS = "geraniumwell_batch_plan_seconds_count"
+UNREADABLE = 'geraniumwell_batch_rows_unreadable_total{kind="worker"}'
 
 
 @given(
@@ -132,6 +137,26 @@
     assert process.exit_status == 0, process.exit_status
 
 
+@when("another writer adds {entries:d} entries with {field} {value}")
+def step_odd_entries(context: Context, entries: int, field: str, value: str) -> None:
+    installation = get_installation(context)
+    valid = installation.list_rows("servers")[0]
+    # The value is written as it stands, because not every decoder accepts it.
+    text = b64decode(valid["Value"]).decode()
+    fields: dict[str, Any] = decode(text, type=dict[str, Raw])
+    fields[field] = Raw(value.encode())
+    for number in range(entries):
+        installation.put_bytes("servers", f"odd-{number}", encode(fields))
+
+
+@then("{rows:d} rows of the registry are counted as unreadable")
+def step_unreadable_rows(context: Context, rows: int) -> None:
+    installation = get_installation(context)
+    wait_until(
+        lambda: installation.read_metric("d1", UNREADABLE) >= rows, "unreadable rows"
+    )
+
+
 @when("the store refuses all calls")
 def step_store_refuses(context: Context) -> None:
     get_installation(context).set_store_fault(mode="busy")
--- a/tests/commands/batch/planning.feature
+++ b/tests/commands/batch/planning.feature
@@ -189,6 +189,19 @@
     When the scheduler plans at second 3
     Then the worker "w2" has a task
 
+  # Guards against entries of workers that do not exist: the idle workers beside them are
+  # not polled, so their last answers are older than these failures.
+  Scenario: Workers that never answered do not make their data centre look partitioned
+    Given workers in the racks "r1 r1 r2 r2"
+    And all workers answered a poll at second 1
+    And the worker "w3" has not been polled
+    And the worker "w4" has not been polled
+    And a call to the worker "w3" timed out at second 2
+    And a call to the worker "w4" timed out at second 2
+    And a job "j" of 2 tasks with 8 accelerators
+    When the scheduler plans at second 3
+    Then the job "j" has 2 started tasks with run 1
+
   Scenario: Thousands of due occurrences are opened in limited batches
     Guards against one such job exhausting the memory of the scheduling daemon.
 
--- a/tests/platform/decode.feature
+++ b/tests/platform/decode.feature
@@ -41,6 +41,15 @@
       | {"Service":"p","Address":7,"Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2}}           |
       | {"Service":"p","Address":"x","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2}}         |
       | [1]                                                                                            |
+      | {"Service":"p","Address":"10.0.0.1:65536","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2}} |
+      | {"Service":"p","Address":"10.0.0.1:0","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2}} |
+      | {"Service":"p","Address":"10.0.0.1:-1","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2}} |
+      | {"Service":"p","Address":"worker:80","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2}} |
+      | {"Service":"p","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":1e30,"MemMb":2}} |
+      | {"Service":"p","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":-2}} |
+      | {"Service":"p","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":100000000000000000000}} |
+      | {"Service":"p","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":2},"born":100000000000000000000} |
+      | {"Service":"p","Address":"10.0.0.1:80","Zone":"z","State":"draining","Capacity":{"Cpu":1,"MemMb":2},"RemainingMs":"nan"} |
 
   Scenario: A worker report contains run, checkpoint and progress
     When the worker report {"ClockMs":9,"Running":[["00aa.0.1.17",2,"c1",41,30]],"Ended":[[58,"00aa.0.1.9",1,"broken",""]],"born":3} is decoded
@@ -51,6 +60,19 @@
     When the worker report {"ClockMs":9,"Running":[["00aa",2,"",41]]} is decoded
     Then the body is rejected
 
+  # Guards against numbers that no later step can store or send.
+  Scenario Outline: A worker report with a number that is too large is rejected
+    When the worker report <report> is decoded
+    Then the body is rejected
+
+    Examples:
+      | report                                                                     |
+      | {"ClockMs":100000000000000000000}                                          |
+      | {"ClockMs":9,"born":100000000000000000000}                                 |
+      | {"ClockMs":9,"Running":[["00aa.0.0.1",100000000000000000000,"",41]]}       |
+      | {"ClockMs":9,"Ended":[[100000000000000000000,"00aa.0.0.1",1,"done",""]]}   |
+      | {"ClockMs":9,"Ended":[[1,"00aa.0.0.1",100000000000000000000,"done",""]]}   |
+
   # Guards against a cut-off list of ends that is taken for a complete one.
   Scenario Outline: A worker report with <count> ends <may> have more of them
     When a worker report with <count> ends is decoded
--- a/tests/platform/malformed.feature
+++ b/tests/platform/malformed.feature
@@ -17,6 +17,24 @@
     When 300 random HTTP calls are made
     Then each call gets a known HTTP status
 
+  Scenario Outline: A job with a number out of range is rejected
+    A number of more than 64 bits could not be stored, and one that is not finite upsets the
+    order of all waiting jobs.
+
+    When the body <body> is decoded as a job
+    Then the body is rejected
+
+    Examples:
+      | body                                                     |
+      | {"Steps":[{"Count":1,"Cpu":100000000000000000000}]}      |
+      | {"Steps":[{"Count":1,"Gpu":100000000000000000000}]}      |
+      | {"Steps":[{"Count":1,"AntiAffinity":100000000000000000000}]} |
+      | {"Steps":[{"Count":1,"TargetMs":100000000000000000000}]} |
+      | {"Steps":[{"Count":1,"EstRuntimeMs":"nan"}]}             |
+      | {"Steps":[{"Count":1,"EstRuntimeMs":1e300}]}             |
+      | {"Steps":[{"Count":1}],"Repeats":1,"InitialDelayMs":"inf"} |
+      | {"Steps":[{"Count":1}],"Repeats":2,"PeriodMs":"nan"}     |
+
   Scenario Outline: A job with a negative amount is rejected
     A negative amount would add capacity to the worker that runs the task.
 
--- a/tests/support/batch_processes.py
+++ b/tests/support/batch_processes.py
@@ -49,8 +49,12 @@
         self.put("op", "config", make_config(self.version, keys))
 
     def put(self, table: str, key: str, value: Any) -> None:
+        """Write a row of the store with a JSON value."""
+        self.put_bytes(table, key, json.dumps(value).encode())
+
+    def put_bytes(self, table: str, key: str, value: bytes) -> None:
         """Write a row of the store."""
-        data = b64encode(json.dumps(value).encode()).decode()
+        data = b64encode(value).decode()
         body = json.dumps({"Writes": [{"Table": table, "Key": key, "Value": data}]})
         assert call("POST", self.store.address, "/rows-tx", body=body).status == 200
 
