Name the begin of a job like its other marks and share MAX_PORT

The range of ports stood in three modules, the third since the check of addresses of workers. record_begin is called mark_job_begun, like mark_job_unsaved.

--- a/geraniumwell/codec/settings.py
+++ b/geraniumwell/codec/settings.py
@@ -10,10 +10,10 @@
 from msgspec.json import decode
 
 from geraniumwell.codec.json import DECODER_ERRORS
+from geraniumwell.const import MAX_PORT
 from geraniumwell.exceptions import SettingsError
 from geraniumwell.model.settings import Settings
 
-MAX_PORT = 65_535
 # Low enough for an abbreviation such as "cert" to match the full key.
 NEAREST_CUTOFF = 0.4
 
--- a/geraniumwell/commands/batch/answers.py
+++ b/geraniumwell/commands/batch/answers.py
@@ -10,7 +10,7 @@
 from geraniumwell.commands.batch.lifecycle import (
     find_step,
     find_task,
-    record_begin,
+    mark_job_begun,
     release_task,
 )
 from geraniumwell.commands.batch.preemption import stop_gang
@@ -67,7 +67,7 @@
         The worker's clock when it responded; 0 if the response does not contain it.
     """
     if result is StartResult.STARTED:
-        record_begin(cluster, order.id.job)
+        mark_job_begun(cluster, order.id.job)
     task = find_placed_task(cluster, order)
     worker = cluster.workers.get(order.worker)
     if task is None or worker is None:
--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -10,8 +10,8 @@
     end_job,
     find_step,
     find_task,
+    mark_job_begun,
     mark_job_unsaved,
-    record_begin,
     release_task,
 )
 from geraniumwell.model.batch.cluster import Cluster, Order, StopTask
@@ -57,11 +57,11 @@
     record_answer(worker, now)
     orders: list[Order] = []
     for end in report.ended:
-        record_begin(cluster, end.id.job)
+        mark_job_begun(cluster, end.id.job)
         orders += apply_end(cluster, worker, end, now, wall_now)
     worker.has_unknown_runs = False
     for running in report.running:
-        record_begin(cluster, running.id.job)
+        mark_job_begun(cluster, running.id.job)
         orders += apply_running(worker, running, now)
     listed = {(item.id, item.run) for item in report.running}
     for task in list(worker.tasks.values()):
--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -86,8 +86,8 @@
     cluster.changed_jobs.add(job_id)
 
 
-def record_begin(cluster: Cluster, job_id: str) -> None:
-    """Record that a worker has begun a task of a job.
+def mark_job_begun(cluster: Cluster, job_id: str) -> None:
+    """Mark a job of which a worker has begun a task.
 
     A start that is only planned may be refused, or may never be sent.
     """
--- a/geraniumwell/commands/config/validate.py
+++ b/geraniumwell/commands/config/validate.py
@@ -7,6 +7,7 @@
 
 from geraniumwell.commands.config.apply import apply_change, find_change_name
 from geraniumwell.commands.config.guarantees import check_all_honoured
+from geraniumwell.const import MAX_PORT
 from geraniumwell.exceptions import ChangeInvalidError
 from geraniumwell.model.change import (
     Change,
@@ -36,8 +37,6 @@
 from geraniumwell.model.guarantee import Guarantee
 from geraniumwell.model.worker import Worker
 
-MAX_PORT = 65_535
-
 
 def validate_change(
     cfg: Configuration,
--- a/geraniumwell/const.py
+++ b/geraniumwell/const.py
@@ -12,6 +12,8 @@
 ATTR_REQUEST_ID: Final = "Geraniumwell-Request-Id"
 ATTR_TIMEOUT_MS: Final = "Geraniumwell-Timeout-Ms"
 
+MAX_PORT: Final = 65_535
+
 # Longer responses of endpoints are rejected, because a response must fit in memory.
 RESPONSE_LIMIT_BYTES: Final = 16_777_216
 
--- a/geraniumwell/platform/client_app.py
+++ b/geraniumwell/platform/client_app.py
@@ -137,7 +137,7 @@
         except (Timeout, ActorDeadError):
             return "count", 503, b"{}"
         if pending is None:
-            # After an unexpected error the actor logs it and returns None.
+            # No count is known, or the actor has logged an unexpected error.
             return "count", 503, b"{}"
         count = pending.get(access.queue.name, 0)
         return "count", 200, encode({"Pending": count})
--- a/geraniumwell/platform/decode.py
+++ b/geraniumwell/platform/decode.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from geraniumwell.codec.json import CodecError
+from geraniumwell.const import MAX_PORT
 from geraniumwell.model.batch.catalog import (
     Catalog,
     Organisation,
@@ -31,7 +32,6 @@
 )
 
 WORKER_STATES = ("ready", "draining")
-MAX_PORT = 65_535
 # Prefix of the operator's row keys that request the evacuation of a data centre.
 EVACUATION_PREFIX = "evacuate/"
 # The progress of more tasks would not fit into one row.
--- a/tests/support/batch.py
+++ b/tests/support/batch.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from geraniumwell.commands.batch.ends import apply_report
-from geraniumwell.commands.batch.lifecycle import add_job, record_begin
+from geraniumwell.commands.batch.lifecycle import add_job, mark_job_begun
 from geraniumwell.commands.batch.planning import plan
 from geraniumwell.model.batch.catalog import (
     Catalog,
@@ -103,7 +103,7 @@
         if isinstance(order, StartTask):
             task = get_task(cluster, order.id)
             task.is_start_sent = True
-            record_begin(cluster, order.id.job)
+            mark_job_begun(cluster, order.id.job)
             task.phase = Phase.RUNNING
             task.start_settled_at = task.started_at = task.progressed_at = now
             task.progressed_clock_ms = int(1000 + now * 1000)
