--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -151,7 +151,7 @@
             record_success(worker)
             _apply_done(cluster, job, step, task, wall_now)
         case EndKind.FAILED:
-            record_failure(worker, task, now)
+            record_failure(worker, task, step.spec.is_long_running, now)
             mark_gang_broken(cluster, task, now)
             return _apply_failure(cluster, job, step, task, end.run, now, wall_now)
         case (
--- a/geraniumwell/commands/batch/health.py
+++ b/geraniumwell/commands/batch/health.py
@@ -29,7 +29,9 @@
     worker.avoid_until = 0.0
 
 
-def record_failure(worker: Worker, task: Task, now: float) -> None:
+def record_failure(
+    worker: Worker, task: Task, is_long_running: bool, now: float
+) -> None:
     """Count a failed run of a task, unless the task also failed on another worker."""
     failed_elsewhere = any(other != worker.entry.id for other in task.failed_on)
     task.failed_on = (*task.failed_on, worker.entry.id)
@@ -38,6 +40,10 @@
     worker.failures += 1
     if worker.failures < SUSPECT_FAILURES:
         return
+    if is_long_running:
+        # It has to be back within 6 s, even if no other worker suits it.
+        worker.avoid_until = max(worker.avoid_until, now + AVOID_SECONDS)
+        return
     wait = AVOID_SECONDS * 2 ** (worker.failures - SUSPECT_FAILURES)
     worker.avoid_until = now + min(wait, AVOID_LIMIT_SECONDS)
 
--- a/tests/commands/batch/planning.feature
+++ b/tests/commands/batch/planning.feature
@@ -189,6 +189,15 @@
     When the scheduler plans at second 3
     Then the worker "w2" has a task
 
+  # Guards against a service that stays down while its only worker is avoided for longer
+  # after each of its failures.
+  Scenario: A long-running task that keeps failing on its only worker is restarted soon
+    Given workers in the racks "r1"
+    And a long-running job "web" with a latency target
+    And the task of "web" has failed 5 times
+    When the scheduler plans at second 506
+    Then the job "web" has 1 started tasks with run 6
+
   # Guards against entries of workers that do not exist: the idle workers beside them are
   # not polled, so their last answers are older than these failures.
   Scenario: Workers that never answered do not make their data centre look partitioned
