--- a/geraniumwell/actors/batch/commit_state.py
+++ b/geraniumwell/actors/batch/commit_state.py
@@ -1,6 +1,7 @@
 """Transactions of the scheduler: one at a time, and each renews the leader claim."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from geraniumwell.clients.table import (
     Committed,
@@ -22,7 +23,14 @@
     TABLE_CONTROL,
     TABLE_PROGRESS,
 )
-from geraniumwell.messages.batch import LeaderClaim
+from geraniumwell.messages.batch import (
+    ActorFailed,
+    CommitFailed,
+    LeaderClaim,
+    ReleaseClaim,
+    RowsCommitted,
+)
+from geraniumwell.messages.serving import Tick
 from geraniumwell.model.batch.cluster import Cluster, StartTask
 from geraniumwell.model.batch.leader import LeaderRow
 from geraniumwell.queries.batch.status import count_pending
@@ -83,6 +91,17 @@
     is_releasing: bool = False
 
 
+def affects_claim(message: Any) -> bool:
+    """Return whether a message affects how long the claim is valid."""
+    # Orders need a valid claim, so these messages must not wait behind worker reports.
+    match message:
+        case RowsCommitted() | CommitFailed() | ActorFailed() | ReleaseClaim():
+            return True
+        case Tick("renew" | "resend"):
+            return True
+    return False
+
+
 def make_commit_state(claim: LeaderClaim) -> CommitState:
     """Return the commit state of a new leader claim."""
     return CommitState(
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -6,6 +6,7 @@
 
 from geraniumwell.actors.batch.commit_state import (
     CommitState,
+    affects_claim,
     begin_transaction,
     confirm_transaction,
     find_committed_version,
@@ -94,17 +95,6 @@
 CLEANUP_SECONDS = 1.0
 
 
-def affects_claim(message: Any) -> bool:
-    """Return whether a message affects how long the claim is valid."""
-    # Orders need a valid claim, so these messages must not wait behind worker reports.
-    match message:
-        case RowsCommitted() | CommitFailed() | ActorFailed() | ReleaseClaim():
-            return True
-        case Tick("renew" | "resend"):
-            return True
-    return False
-
-
 class Scheduler(ThreadingActor):
     """Owns the state of all jobs and workers under one epoch."""
 
