Add a red scenario of an order that is sent after the daemon's own pause

An order queued behind a response whose handling takes 1.5 s gets a time limit that counts from before the pause, and expires before the worker can answer; the worker and its gang pay for the daemon's pause.

--- a/tests/actors/batch/worker_connection_pool.feature
+++ b/tests/actors/batch/worker_connection_pool.feature
@@ -97,6 +97,13 @@
     And the connection pool is blocked for 1.5 seconds
     Then the start is reported as executed
 
+  # Guards against the daemon's own pause that counts as a missing response of the worker.
+  Scenario: An order that waited behind a pause of the daemon gets its full time limit
+    Given a worker that answers after 0.2 seconds
+    And a worker connection pool
+    When a start is requested behind a stop whose response is read for 1.5 seconds
+    Then the start is reported as executed
+
   # Guards against a call on a connection that the worker has closed.
   Scenario: A connection that the worker closed is replaced
     Given a worker that closes each connection after its response
--- a/tests/actors/batch/worker_connection_pool_steps.py
+++ b/tests/actors/batch/worker_connection_pool_steps.py
@@ -305,6 +305,16 @@
     assert isinstance(next_message(context), StopAnswered)
 
 
+@when(
+    "a start is requested behind a stop whose response is read for {seconds:g} seconds"
+)
+def step_start_behind(context: Context, seconds: float) -> None:
+    context.codec.seconds = seconds
+    call(context, make_stop())
+    call(context, make_start())
+    assert isinstance(next_message(context), StopAnswered)
+
+
 @when("the connection pool is stopped")
 def step_stop_connection_pool(context: Context) -> None:
     context.connection_pool.stop(block=False)
