Share the restoring of a stored job between scenarios, keep a reason

The steps of answers.feature and ends.feature encoded and restored a job in the same way; restore_stored_job serves both. The reason why amounts can't be negative went with the check it stood at; it stands at the type now.

--- a/geraniumwell/platform/wire.py
+++ b/geraniumwell/platform/wire.py
@@ -9,6 +9,7 @@
 
 # Integers up to this one are exact as floats and fit into the 64 bits of a stored row.
 MAX_NUMBER: Final = 2**53
+# A negative amount would add capacity to the worker that runs the task.
 Amount = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 Integer = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 # The limits leave out values that are not finite.
--- a/tests/commands/batch/answers_steps.py
+++ b/tests/commands/batch/answers_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from geraniumwell.codec.batch import decode_progress, decode_state, encode_progress
+from geraniumwell.codec.batch import decode_state, encode_progress
 from geraniumwell.commands.batch.answers import (
     apply_start_answer,
     apply_unanswered_start,
@@ -13,12 +13,11 @@
 from geraniumwell.commands.batch.capacity import is_eligible
 from geraniumwell.commands.batch.lifecycle import request_stop
 from geraniumwell.commands.batch.planning import plan
-from geraniumwell.commands.batch.registry import restore_job
 from geraniumwell.model.batch.cluster import StartTask
 from geraniumwell.model.batch.job import Phase
 from geraniumwell.model.batch.worker import EndedTask, EndKind, RunningTask, StartResult
 from geraniumwell.queries.batch.status import count_pending, get_state
-from tests.support.batch import WALL, list_tasks, make_cluster, report
+from tests.support.batch import WALL, list_tasks, report, restore_stored_job
 
 ANSWERED_AT = 1.5
 
@@ -115,9 +114,7 @@
 @when('another scheduler restores the job "{name}"')
 def step_restore(context: Context, name: str) -> None:
     job = context.cluster.jobs[name]
-    stored = encode_progress(job)
-    context.cluster = make_cluster("r1")
-    restore_job(context.cluster, decode_progress(stored, job.spec), ANSWERED_AT)
+    context.cluster = restore_stored_job(job, "r1", ANSWERED_AT)
 
 
 def check_progress(context: Context, name: str, state: str, count: int) -> None:
--- a/tests/commands/batch/ends_steps.py
+++ b/tests/commands/batch/ends_steps.py
@@ -3,7 +3,6 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from geraniumwell.codec.batch import decode_progress, encode_progress
 from geraniumwell.commands.batch.acknowledgement import may_acknowledge
 from geraniumwell.commands.batch.answers import (
     apply_start_answer,
@@ -13,7 +12,6 @@
 from geraniumwell.commands.batch.capacity import is_eligible
 from geraniumwell.commands.batch.health import record_refusal
 from geraniumwell.commands.batch.lifecycle import release_task
-from geraniumwell.commands.batch.registry import restore_job
 from geraniumwell.model.batch.cluster import StartTask, StopTask
 from geraniumwell.model.batch.job import PLACED_PHASES, Phase, Task, TaskId
 from geraniumwell.model.batch.worker import EndedTask, EndKind, RunningTask, StartResult
@@ -21,10 +19,10 @@
 from tests.support.batch import (
     end_task,
     list_tasks,
-    make_cluster,
     make_job,
     make_step,
     report,
+    restore_stored_job,
     run_plan,
     submit,
 )
@@ -125,9 +123,7 @@
 @given('another scheduler has restored "{name}" at second {now:g}')
 def step_restored(context: Context, name: str, now: float) -> None:
     job = context.cluster.jobs[name]
-    stored = encode_progress(job)
-    context.cluster = make_cluster("r1 r1")
-    restore_job(context.cluster, decode_progress(stored, job.spec), now)
+    context.cluster = restore_stored_job(job, "r1 r1", now)
 
 
 @when(
--- a/tests/support/batch.py
+++ b/tests/support/batch.py
@@ -2,9 +2,11 @@
 
 from typing import Any
 
+from geraniumwell.codec.batch import decode_progress, encode_progress
 from geraniumwell.commands.batch.ends import apply_report
 from geraniumwell.commands.batch.lifecycle import add_job, mark_job_begun
 from geraniumwell.commands.batch.planning import plan
+from geraniumwell.commands.batch.registry import restore_job
 from geraniumwell.model.batch.catalog import (
     Catalog,
     Organisation,
@@ -12,7 +14,7 @@
     make_catalog,
 )
 from geraniumwell.model.batch.cluster import BatchPolicy, Cluster, Order, StartTask
-from geraniumwell.model.batch.job import JobSpec, Phase, StepSpec, Task, TaskId
+from geraniumwell.model.batch.job import Job, JobSpec, Phase, StepSpec, Task, TaskId
 from geraniumwell.model.batch.resources import Resources
 from geraniumwell.model.batch.worker import (
     EndedTask,
@@ -96,6 +98,13 @@
     add_job(cluster, spec, WALL)
 
 
+def restore_stored_job(job: Job, racks: str, now: float) -> Cluster:
+    """Return the cluster of a new scheduler that has restored a job from its row."""
+    cluster = make_cluster(racks)
+    restore_job(cluster, decode_progress(encode_progress(job), job.spec), now)
+    return cluster
+
+
 def run_plan(cluster: Cluster, now: float) -> list[Order]:
     """Plan one round; all starts succeed at once."""
     orders = plan(cluster, now, WALL + now)
