Give each call to a worker its full time limit after a pause of the daemon

Cause: WorkerConnectionPool took the time once for each message. A call that was sent late in a message, after a pause, got a deadline from before the pause and expired at once; its worker and its gang paid for the pause.

Ruled out: only passing a new time after each response; the deadline of a connection that is opened had the same fault.

Change: _send and _send_queued take the time when they send or connect.

--- a/geraniumwell/actors/batch/worker_connection_pool.py
+++ b/geraniumwell/actors/batch/worker_connection_pool.py
@@ -102,7 +102,7 @@
             case CallWorker():
                 connection = self._find_connection(message)
                 connection.calls.append(message)
-                self._send_queued(connection, now)
+                self._send_queued(connection)
             case DisconnectWorker(worker):
                 for is_poll in (False, True):
                     if (
@@ -143,10 +143,13 @@
             if self._connections.get((connection.worker, is_poll)) is connection:
                 del self._connections[connection.worker, is_poll]
 
-    def _send_queued(self, connection: WorkerConnection, now: float) -> None:
+    def _send_queued(self, connection: WorkerConnection) -> None:
         """Send queued calls while the connection is free."""
         while connection.in_flight is None and connection.calls:
             message = connection.calls.popleft()
+            # Not the time of the message being handled: handling it may have been
+            # paused, and the call would lose that time from its limit.
+            now = monotonic_seconds()
             deadline = now + CONNECT_TIMEOUT_SECONDS
             connection.in_flight = InFlightCall(message.call, message.send_by, deadline)
             self._begin_call(connection, now)
@@ -162,7 +165,7 @@
         if conn is not None and not is_fresh and not conn.is_idle():
             self._disconnect(connection)
         if connection.conn is not None:
-            self._send(connection, connection.conn, now)
+            self._send(connection, connection.conn)
             return
         try:
             self._connect(connection)
@@ -190,7 +193,7 @@
         self._open_count -= 1
         WORKER_CONNECTIONS.set(self._open_count)
 
-    def _send(self, connection: WorkerConnection, conn: HttpConn, now: float) -> None:
+    def _send(self, connection: WorkerConnection, conn: HttpConn) -> None:
         """Send the call unless its send deadline has passed."""
         in_flight = connection.in_flight
         assert in_flight is not None
@@ -201,6 +204,7 @@
         ):
             return
         encoded = self._codec.encode(connection.worker, self._epoch, in_flight.call)
+        now = monotonic_seconds()
         in_flight.timer_started_at = now
         in_flight.is_timed = not encoded.wait_seconds
         in_flight.deadline = (
@@ -242,23 +246,23 @@
             return
         try:
             if conn.is_writing:
-                self._write(connection, conn, now)
+                self._write(connection, conn)
             elif (answer := conn.read()) is not None:
                 self._finish(connection, in_flight, answer, now)
         except HttpConnError as exc:
             is_sent = in_flight.sent_at is not None
             kind = TaskWorkerNoAnswerError if is_sent else TaskWorkerUnreachableError
             self._fail(connection, kind(str(exc)))
-        self._send_queued(connection, now)
+        self._send_queued(connection)
 
-    def _write(self, connection: WorkerConnection, conn: HttpConn, now: float) -> None:
+    def _write(self, connection: WorkerConnection, conn: HttpConn) -> None:
         was_connected = conn.is_connected
         conn.write()
         if conn.is_writing:
             return
         self.actor_inbox.change(conn.sock, (connection, conn), is_writing=False)
         if not was_connected:
-            self._send(connection, conn, now)
+            self._send(connection, conn)
 
     def _finish(
         self,
@@ -301,4 +305,4 @@
                 self._timeout_estimator.record_timeout()
                 exc = TaskWorkerNoAnswerError("waiting for the response timed out")
             self._fail(connection, exc)
-            self._send_queued(connection, now)
+            self._send_queued(connection)
