Judge stalls by gang, and prefer workers that are not slow

Besides, a quarter of the workers of one deployment needs 2.2 times as long as the others, and a gang waits for its slowest member.

Change: commands/batch/progress.py judges a gang as a whole, with a limit that grows with the time of one percent; it blames a worker only if nothing else moves there, and a step that stands still on several workers pauses. The stalls are part of the progress row. commands/batch/speeds.py fits the speeds of workers to the rates of runs; urgent work takes slow workers last, work that can afford it takes them first. Without slow workers placement is as before.

Ruled out: a Kalman filter for each worker and step; the worker whose samples came first in each step was not found (scenario 'An urgent gang takes the workers that are not slow' failed with it).

--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -49,12 +49,13 @@
     TABLE_JOBS,
     TABLE_PROGRESS,
 )
-from geraniumwell.helpers.batch_log_fields import group_order_fields
+from geraniumwell.helpers.batch_log_fields import format_reason, group_order_fields
 from geraniumwell.helpers.batch_metrics import (
     ORDERS,
-    PLACED_TASKS,
     PLAN_SECONDS,
+    STOPS,
     WAITING_JOBS,
+    set_fleet_gauges,
 )
 from geraniumwell.helpers.event_log import EVENT_LOG
 from geraniumwell.messages.batch import (
@@ -346,6 +347,7 @@
                     self._commits.orders.append(order)
                 case StopTask():
                     stops.append(order)
+                    STOPS.labels(format_reason(order)).inc()
                     valid_until = self._commits.valid_until
                     self._caller.send_stop(self._cluster, order, valid_until)
         for fields in group_order_fields(stops):
@@ -382,7 +384,7 @@
         if expired := remove_expired_jobs(self._cluster, wall_now):
             self._end_reporter.forget(expired)
             tell(self._sweeper, RemoveJobRows(tuple(expired)))
-        PLACED_TASKS.set(sum(len(w.tasks) for w in self._cluster.workers.values()))
+        set_fleet_gauges(self._cluster)
 
     def _run_due_actions(self) -> None:
         """Renew the claim and poll workers if that has become due."""
--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -105,7 +105,9 @@
     tasks = [
         [t.phase.value, t.run, t.failures, t.worker, t.checkpoint] for t in step.tasks
     ]
-    return [step.occurrence, step.step, step.gang_failures, step.failed_run, tasks]
+    row = [step.occurrence, step.step, step.gang_failures, step.failed_run, tasks]
+    # Earlier versions read rows of five fields only.
+    return [*row, step.stalls, step.stalled_on] if step.stalls else row
 
 
 def decode_state(data: bytes) -> tuple[JobState, bool]:
@@ -152,9 +154,11 @@
 
 
 def _restore_step(job: Job, item: list[Any]) -> None:
-    occurrence, number, gang_failures, failed_run, tasks = item
+    occurrence, number, gang_failures, failed_run, tasks, *stalls = item
     step = job.steps[occurrence, number]
     step.gang_failures, step.failed_run = gang_failures, failed_run
+    if stalls:
+        step.stalls, step.stalled_on = int(stalls[0]), tuple(stalls[1])
     for task, row in zip(step.tasks, tasks, strict=True):
         _restore_task(task, row)
 
--- a/geraniumwell/commands/batch/answers.py
+++ b/geraniumwell/commands/batch/answers.py
@@ -12,10 +12,21 @@
     find_task,
     mark_job_begun,
     release_task,
+    stop_gang,
+)
+from geraniumwell.model.batch.cluster import (
+    Cluster,
+    Order,
+    StartTask,
+    StopTask,
+)
+from geraniumwell.model.batch.job import (
+    ENDED_STATES,
+    PLACED_PHASES,
+    Phase,
+    StopReason,
+    Task,
 )
-from geraniumwell.commands.batch.preemption import stop_gang
-from geraniumwell.model.batch.cluster import Cluster, Order, StartTask, StopTask
-from geraniumwell.model.batch.job import ENDED_STATES, PLACED_PHASES, Phase, Task
 from geraniumwell.model.batch.worker import StartResult
 
 
@@ -106,7 +117,7 @@
     step = find_step(cluster.jobs[task.id.job], task.id)
     if step is None or not step.spec.is_gang:
         return []
-    return stop_gang(cluster, task, now)
+    return stop_gang(cluster, task, StopReason.START_FAILED, now)
 
 
 def apply_unanswered_start(
@@ -121,7 +132,7 @@
     record_refusal(worker, now)
     record_unanswered_call(worker, now)
     mark_gang_broken(cluster, task, now)
-    return stop_gang(cluster, task, now)
+    return stop_gang(cluster, task, StopReason.START_FAILED, now)
 
 
 def apply_stop_answer(cluster: Cluster, order: StopTask, now: float) -> None:
--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -14,6 +14,7 @@
     mark_job_unsaved,
     release_task,
 )
+from geraniumwell.commands.batch.speeds import forget_worker, record_progress
 from geraniumwell.model.batch.cluster import Cluster, Order, StopTask
 from geraniumwell.model.batch.job import (
     ENDED_STATES,
@@ -22,6 +23,7 @@
     JobState,
     Phase,
     StepRun,
+    StopReason,
     Task,
 )
 from geraniumwell.model.batch.worker import (
@@ -62,7 +64,7 @@
     worker.has_unknown_runs = False
     for running in report.running:
         mark_job_begun(cluster, running.id.job)
-        orders += apply_running(worker, running, now)
+        orders += apply_running(cluster, worker, running, now)
     listed = {(item.id, item.run) for item in report.running}
     for task in list(worker.tasks.values()):
         if (task.id, task.run) in listed:
@@ -102,11 +104,14 @@
         ) = 0
         worker.has_confirmed_epoch = False
         worker.has_unknown_runs = False
+        forget_worker(cluster.speeds, worker.entry.id)
     worker.started_ms = started_ms
     cluster.mark_worker_changed(worker.entry.id)
 
 
-def apply_running(worker: Worker, item: RunningTask, now: float) -> list[Order]:
+def apply_running(
+    cluster: Cluster, worker: Worker, item: RunningTask, now: float
+) -> list[Order]:
     """Record the progress of a run; stop it if it is not the placed run of its task."""
     task = worker.tasks.get(item.id)
     if task is not None and task.phase is Phase.DONE:
@@ -114,12 +119,12 @@
         return []
     if task is None or task.run != item.run or task.phase not in PLACED_PHASES:
         worker.has_unknown_runs = True
-        return [StopTask(worker.entry.id, item.id, item.run)]
+        reason = StopReason.UNKNOWN_RUN
+        return [StopTask(worker.entry.id, item.id, item.run, reason)]
     if item.checkpoint:
         task.checkpoint = item.checkpoint
     if item.percent != task.progress or task.progressed_clock_ms is None:
-        task.progress, task.progressed_at = item.percent, now
-        task.progressed_clock_ms = worker.clock_ms
+        record_progress(cluster, worker, task, item.percent, now)
     if task.start_settled_at is None:
         task.start_settled_at = now
     if task.phase is Phase.STARTING:
--- a/geraniumwell/commands/batch/evacuation.py
+++ b/geraniumwell/commands/batch/evacuation.py
@@ -1,9 +1,9 @@
 """Moves tasks off draining workers, and unsent starts off evacuated data centres."""
 
-from geraniumwell.commands.batch.preemption import stop_gang
+from geraniumwell.commands.batch.lifecycle import stop_gang
 from geraniumwell.commands.batch.priorities import find_step_spec
 from geraniumwell.model.batch.cluster import Cluster, Order
-from geraniumwell.model.batch.job import Phase, Task
+from geraniumwell.model.batch.job import Phase, StopReason, Task
 from geraniumwell.model.batch.worker import Worker, WorkerState
 
 # Assumed remaining time of a draining worker that does not announce one.
@@ -23,7 +23,7 @@
             continue
         for task in list(worker.tasks.values()):
             if task.phase is Phase.RUNNING and must_move(cluster, worker, task, now):
-                orders += stop_gang(cluster, task, now)
+                orders += stop_gang(cluster, task, StopReason.WORKER_LEAVING, now)
     return orders
 
 
@@ -41,7 +41,7 @@
             continue
         for task in list(worker.tasks.values()):
             if task.phase is Phase.STARTING and not task.is_start_sent:
-                orders += stop_gang(cluster, task, now)
+                orders += stop_gang(cluster, task, StopReason.WORKER_LEAVING, now)
     return orders
 
 
--- a/geraniumwell/commands/batch/headroom.py
+++ b/geraniumwell/commands/batch/headroom.py
@@ -19,18 +19,29 @@
     """Return the names of the idle workers to reserve for urgent work.
 
     The racks with the most idle workers come first, because urgent gangs run fastest
-    inside one rack.
+    inside one rack. Slow workers are chosen last.
     """
     wanted = int(len(pool.capacities) * HEADROOM_SHARE)
+    slow = pool.slow_workers
     chosen: list[str] = []
-    racks = sorted(pool.idle.items(), key=lambda item: (-len(item[1]), item[0]))
-    for _, names in racks:
-        if len(chosen) >= wanted:
-            break
-        chosen += sorted(names)[: wanted - len(chosen)]
+    for is_slow in (False, True):
+        usable = {
+            rack: [name for name in names if (name in slow) is is_slow]
+            for rack, names in pool.idle.items()
+        }
+        racks = sorted(usable.items(), key=lambda item: (-len(item[1]), item[0]))
+        for _, names in racks:
+            if len(chosen) >= wanted:
+                break
+            chosen += sorted(names)[: wanted - len(chosen)]
     return frozenset(chosen)
 
 
+def is_mostly_idle(pool: Pool) -> bool:
+    """Return whether most of the accelerators of a pool are free."""
+    return pool.free > (1.0 - MOSTLY_IDLE_SHARE) * pool.accelerators
+
+
 def may_use_headroom(pool: Pool, unit: Unit, now: float) -> bool:
     """Return whether a unit may use the headroom.
 
@@ -42,4 +53,4 @@
         return True
     if now - unit.waiting_since < HEADROOM_WAIT_SECONDS:
         return False
-    return pool.free > (1.0 - MOSTLY_IDLE_SHARE) * pool.accelerators
+    return is_mostly_idle(pool)
--- a/geraniumwell/commands/batch/health.py
+++ b/geraniumwell/commands/batch/health.py
@@ -54,6 +54,11 @@
     worker.avoid_until = now + AVOID_LIMIT_SECONDS
 
 
+def record_suspected_stall(worker: Worker, now: float) -> None:
+    """Avoid for a short time one of several workers on which a gang stood still."""
+    worker.avoid_until = max(worker.avoid_until, now + AVOID_SECONDS)
+
+
 def record_refusal(worker: Worker, now: float) -> None:
     """Avoid a worker that refused or did not answer a start, with exponential backoff.
 
--- a/geraniumwell/commands/batch/indexing.py
+++ b/geraniumwell/commands/batch/indexing.py
@@ -17,6 +17,7 @@
     MIN_UNRESPONSIVE_WORKERS,
     find_unresponsive_data_centres,
 )
+from geraniumwell.commands.batch.speeds import refresh_slow_workers
 from geraniumwell.model.batch.capacity import (
     CapacityBuckets,
     FleetIndex,
@@ -47,6 +48,7 @@
     for name in sorted(changed):
         _rebuild(cluster, name, now)
     changed.clear()
+    refresh_slow_workers(cluster, now)
     for pool in fleet.pools.values():
         if pool.is_stale:
             pool.is_stale = False
--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -8,6 +8,7 @@
     JobState,
     Phase,
     StepRun,
+    StopReason,
     Task,
     TaskId,
     open_occurrence,
@@ -74,9 +75,12 @@
     cluster.pending_jobs.pop(job.spec.id, None)
     mark_job_unsaved(cluster, job.spec.id)
     orders: list[Order] = []
+    reason = StopReason.JOB_CANCELLED
+    if state is JobState.FAILED:
+        reason = StopReason.JOB_FAILED
     for step in job.steps.values():
         for task in step.tasks:
-            orders += request_stop(cluster, task, now)
+            orders += request_stop(cluster, task, reason, now)
     return orders
 
 
@@ -159,7 +163,37 @@
         end_job(cluster, job, JobState.DONE, wall_now)
 
 
-def request_stop(cluster: Cluster, task: Task, now: float) -> list[Order]:
+def list_gang(cluster: Cluster, task: Task) -> list[Task]:
+    """Return all members of a task's gang, or the task alone."""
+    job = cluster.jobs[task.id.job]
+    step = find_step(job, task.id)
+    if step is None or not step.spec.is_gang or job.state in ENDED_STATES:
+        return [task]
+    return step.tasks
+
+
+def stop_gang(
+    cluster: Cluster,
+    task: Task,
+    reason: StopReason,
+    now: float,
+    stalled_ms: int | None = None,
+) -> list[Order]:
+    """Begin to stop a task and all members of its gang; return the stop orders."""
+    return [
+        order
+        for member in list_gang(cluster, task)
+        for order in request_stop(cluster, member, reason, now, stalled_ms)
+    ]
+
+
+def request_stop(
+    cluster: Cluster,
+    task: Task,
+    reason: StopReason,
+    now: float,
+    stalled_ms: int | None = None,
+) -> list[Order]:
     """Begin to stop a task; a start order that was not sent is cancelled at once."""
     if task.phase is Phase.STARTING and not task.is_start_sent:
         release_task(cluster, task)
@@ -168,9 +202,10 @@
         return []
     task.phase = Phase.STOPPING
     task.stopped_at = now
+    task.stop_reason = reason
     cluster.stopping_tasks[task.id] = task
     cluster.mark_worker_changed(task.worker)
-    return [StopTask(task.worker, task.id, task.run)]
+    return [StopTask(task.worker, task.id, task.run, reason, stalled_ms)]
 
 
 def release_task(cluster: Cluster, task: Task) -> None:
@@ -185,8 +220,10 @@
     task.worker = ""
     task.start_settled_at = None
     task.progressed_clock_ms = None
+    task.base_clock_ms = None
+    task.has_speed_sample = False
     task.is_start_sent = False
-    task.stopped_at = None
+    task.stopped_at = task.stop_reason = None
     mark_job_unsaved(cluster, task.id.job)
 
 
--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -37,6 +37,7 @@
     unit: Unit,
     may_use_headroom: bool,
     is_remote_allowed: Callable[[], bool],
+    is_usable: Callable[[WorkerCapacity], bool] | None = None,
 ) -> Placement:
     """Return a placement of a unit on free capacity; empty if there is none.
 
@@ -47,13 +48,15 @@
     is_remote_allowed : callable
         Returns whether tasks may run outside their preferred rack. Called only if the
         answer affects the placement.
+    is_usable : callable or None
+        Returns whether a worker may be used; None if all of them may.
     """
     buckets = [pool.general, pool.headroom] if may_use_headroom else [pool.general]
     if not may_fit(buckets, unit):
         return []
     if not unit.spec.rack and not unit.spec.is_same_rack:
-        return fill(iterate_fitting(buckets, unit), unit)
-    fitting = list(iterate_fitting(buckets, unit))
+        return fill(iterate_fitting(buckets, unit, is_usable), unit)
+    fitting = list(iterate_fitting(buckets, unit, is_usable))
     return place_locally(fitting, unit) or (
         fill(fitting, unit) if is_remote_allowed() else []
     )
@@ -88,6 +91,14 @@
     return place_in_one_rack(fitting, unit)
 
 
+def is_placed_locally(placement: Placement, unit: Unit) -> bool:
+    """Return whether a placement is in the preferred rack, if there is one."""
+    racks = {capacity.worker.entry.rack for capacity, _ in placement}
+    if unit.spec.rack:
+        return racks == {unit.spec.rack}
+    return not unit.spec.is_same_rack or len(racks) == 1
+
+
 def could_fit_locally(capacities: Iterable[WorkerCapacity], unit: Unit) -> bool:
     """Return whether a unit would fit into its preferred rack on idle workers."""
     if unit.spec.rack:
@@ -115,7 +126,9 @@
 
 
 def iterate_fitting(
-    buckets: list[CapacityBuckets], unit: Unit
+    buckets: list[CapacityBuckets],
+    unit: Unit,
+    is_usable: Callable[[WorkerCapacity], bool] | None = None,
 ) -> Iterator[tuple[WorkerCapacity, int]]:
     """Yield the workers on which tasks of a unit fit now, the least free one first."""
     levels = sorted({free for bucket in buckets for free in bucket})
@@ -123,7 +136,10 @@
         if free < unit.spec.needs.accelerators:
             continue
         capacities = [
-            capacity for bucket in buckets for capacity in bucket.get(free, {}).values()
+            capacity
+            for bucket in buckets
+            for capacity in bucket.get(free, {}).values()
+            if is_usable is None or is_usable(capacity)
         ]
         yield from find_fitting(capacities, unit, get_free)
 
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -5,7 +5,6 @@
 from geraniumwell.commands.batch.ends import mark_gang_broken
 from geraniumwell.commands.batch.evacuation import evacuate_draining_workers
 from geraniumwell.commands.batch.headroom import may_use_headroom
-from geraniumwell.commands.batch.health import record_stall
 from geraniumwell.commands.batch.indexing import allocate, refresh_fleet
 from geraniumwell.commands.batch.leases import find_expired_workers
 from geraniumwell.commands.batch.lifecycle import (
@@ -13,20 +12,20 @@
     mark_job_unsaved,
     release_task,
     request_stop,
+    stop_gang,
 )
 from geraniumwell.commands.batch.placement import (
     Placement,
     could_fit_locally,
     get_free_after_stops,
+    is_placed_locally,
     place,
     place_now,
 )
-from geraniumwell.commands.batch.preemption import (
-    find_preemption,
-    is_guaranteed,
-    stop_gang,
-)
+from geraniumwell.commands.batch.preemption import find_preemption, is_guaranteed
 from geraniumwell.commands.batch.priorities import URGENT_PRIORITY
+from geraniumwell.commands.batch.progress import is_paused, stop_stalled
+from geraniumwell.commands.batch.speeds import can_afford_slow_worker
 from geraniumwell.commands.batch.units import open_occurrences, refresh_queue
 from geraniumwell.model.batch.capacity import Pool, WorkerCapacity
 from geraniumwell.model.batch.cluster import (
@@ -35,18 +34,13 @@
     StartTask,
     StopTask,
 )
-from geraniumwell.model.batch.job import ENDED_STATES, Phase, StepRun, Task
+from geraniumwell.model.batch.job import ENDED_STATES, Phase, StepRun, StopReason, Task
 from geraniumwell.model.batch.unit import PlacementShape, Unit
 
 # Time in which the other members of a broken gang end by themselves on healthy workers.
 BROKEN_GANG_SECONDS = 0.8
 # Time after which a stop order without effect is sent again.
 STOP_REPEAT_SECONDS = 1.0
-# Time without progress after which a task counts as stalled. Progress is reported in
-# whole percent, and workers are polled every two seconds. The time is measured on the
-# worker's clock, because a report that is processed late, by a daemon that was paused
-# or busy, describes an earlier state.
-STALL_MS = 6_000
 # Time after which a guaranteed unit may run outside its preferred rack. It takes
 # several seconds longer there, but it has to start within about 3 s.
 GUARANTEED_LOCAL_WAIT_SECONDS = 1.3
@@ -86,7 +80,7 @@
     orders += evacuate_draining_workers(cluster, now)
     refresh_fleet(cluster, now)
     refresh_queue(cluster, now, wall_now)
-    orders += place_units(cluster, now)
+    orders += place_units(cluster, now, wall_now)
     return orders
 
 
@@ -113,31 +107,7 @@
         if cluster.jobs[key[0]].state in ENDED_STATES:
             continue
         for task in step.tasks:
-            orders += request_stop(cluster, task, now)
-    return orders
-
-
-def stop_stalled(cluster: Cluster, now: float) -> list[Order]:
-    """Stop tasks that make no progress although their worker reports them.
-
-    Only changed workers are checked, because each report marks its worker as changed.
-    """
-    orders: list[Order] = []
-    for name in sorted(cluster.changed_workers):
-        worker = cluster.workers.get(name)
-        if worker is None:
-            continue
-        for task in list(worker.tasks.values()):
-            if task.phase is not Phase.RUNNING:
-                continue
-            since_ms = task.progressed_clock_ms
-            if since_ms is None or worker.clock_ms - since_ms < STALL_MS:
-                continue
-            job = cluster.jobs[task.id.job]
-            if job.spec.steps[task.id.step].is_long_running:
-                continue
-            record_stall(worker, now)
-            orders += stop_gang(cluster, task, now)
+            orders += request_stop(cluster, task, StopReason.GANG_BROKEN, now)
     return orders
 
 
@@ -149,21 +119,21 @@
             del cluster.stopping_tasks[task.id]
         elif now - task.stopped_at >= STOP_REPEAT_SECONDS:
             task.stopped_at = now
-            orders.append(StopTask(task.worker, task.id, task.run))
+            orders.append(StopTask(task.worker, task.id, task.run, task.stop_reason))
     return orders
 
 
-def place_units(cluster: Cluster, now: float) -> list[Order]:
+def place_units(cluster: Cluster, now: float, wall_now: float) -> list[Order]:
     """Start units that fit, in order of urgency, and preempt for guaranteed units."""
     orders: list[Order] = []
     cache = RoundCache()
     use = dict(cluster.fleet.urgent_use)
     for unit in list(cluster.queue.units):
         pool = cluster.fleet.pools.get(unit.service)
-        if pool is None:
+        if pool is None or is_paused(pool, unit, now):
             continue
         may_preempt = is_guaranteed(cluster, unit, use)
-        found = find_placement(pool, unit, may_preempt, cache, now)
+        found = find_placement(pool, unit, may_preempt, cache, now, wall_now)
         if found:
             orders += start_unit(cluster, unit, found, now)
             if unit.priority == URGENT_PRIORITY:
@@ -175,7 +145,12 @@
 
 
 def find_placement(
-    pool: Pool, unit: Unit, may_preempt: bool, cache: RoundCache, now: float
+    pool: Pool,
+    unit: Unit,
+    may_preempt: bool,
+    cache: RoundCache,
+    now: float,
+    wall_now: float,
 ) -> Placement:
     """Return a placement of a unit on free capacity; cache shapes that do not fit."""
     can_use_headroom = may_use_headroom(pool, unit, now)
@@ -194,6 +169,40 @@
     # Others of the same shape may have waited longer, so waiting is not cached.
     if not found and not is_waiting_for_rack and unit.shape is not None:
         cache.unfit.add((unit.shape, can_use_headroom))
+    if not found or not pool.slow_workers:
+        return found
+    return place_by_speed(pool, unit, found, can_use_headroom, wall_now)
+
+
+def place_by_speed(
+    pool: Pool,
+    unit: Unit,
+    found: Placement,
+    can_use_headroom: bool,
+    wall_now: float,
+) -> Placement:
+    """Return a placement on workers of one kind, fast or slow, or ``found``.
+
+    Work that can afford it takes slow workers first, so that fast ones stay free for
+    urgent work. A gang on both kinds would take as long as on slow workers alone.
+    """
+    prefers_slow = unit.priority != URGENT_PRIORITY and can_afford_slow_worker(
+        pool, unit, wall_now
+    )
+    slow = pool.slow_workers
+    if all((c.worker.entry.id in slow) is prefers_slow for c, _ in found):
+        return found
+    is_local = is_placed_locally(found, unit)
+    for wants_slow in (prefers_slow, not prefers_slow):
+        better = place_now(
+            pool,
+            unit,
+            can_use_headroom,
+            lambda: not is_local,
+            lambda c, wanted=wants_slow: (c.worker.entry.id in slow) is wanted,
+        )
+        if better:
+            return better
     return found
 
 
@@ -253,8 +262,10 @@
     task.worker = capacity.worker.entry.id
     task.start_settled_at = None
     task.is_start_sent = False
-    task.stopped_at = None
+    task.stopped_at = task.stop_reason = None
     task.progress = 0
+    task.base_clock_ms = None
+    task.has_speed_sample = False
     task.started_at = task.progressed_at = now
     capacity.worker.tasks[task.id] = task
     cluster.mark_worker_changed(task.worker)
@@ -290,7 +301,7 @@
         return []
     orders: list[Order] = []
     for victim in preemption.victims:
-        orders += stop_gang(cluster, victim, now)
+        orders += stop_gang(cluster, victim, StopReason.PREEMPTED, now)
     for capacity, count in preemption.placement:
         allocate(cluster, capacity, unit, count)
     return orders
--- a/geraniumwell/commands/batch/preemption.py
+++ b/geraniumwell/commands/batch/preemption.py
@@ -9,15 +9,15 @@
     find_reserved_resources,
     is_suitable,
 )
-from geraniumwell.commands.batch.lifecycle import find_step, request_stop
+from geraniumwell.commands.batch.lifecycle import list_gang
 from geraniumwell.commands.batch.priorities import (
     URGENT_PRIORITY,
     find_step_spec,
     is_task_preemptible,
 )
 from geraniumwell.model.batch.capacity import WorkerCapacity
-from geraniumwell.model.batch.cluster import Cluster, Order
-from geraniumwell.model.batch.job import ENDED_STATES, StepSpec, Task
+from geraniumwell.model.batch.cluster import Cluster
+from geraniumwell.model.batch.job import StepSpec, Task
 from geraniumwell.model.batch.unit import Unit
 
 # Stopping a task with checkpoints loses little more than the time of its restart.
@@ -162,24 +162,6 @@
     return None
 
 
-def list_gang(cluster: Cluster, task: Task) -> list[Task]:
-    """Return all members of a task's gang, or the task alone."""
-    job = cluster.jobs[task.id.job]
-    step = find_step(job, task.id)
-    if step is None or not step.spec.is_gang or job.state in ENDED_STATES:
-        return [task]
-    return step.tasks
-
-
-def stop_gang(cluster: Cluster, task: Task, now: float) -> list[Order]:
-    """Begin to stop a task and all members of its gang; return the stop orders."""
-    return [
-        order
-        for member in list_gang(cluster, task)
-        for order in request_stop(cluster, member, now)
-    ]
-
-
 def estimate_lost_work(cluster: Cluster, task: Task, now: float) -> float:
     """Return the core-seconds that are lost if a task and its gang are stopped."""
     spec = find_step_spec(cluster, task.id)
--- /dev/null
+++ b/geraniumwell/commands/batch/progress.py
@@ -0,0 +1,187 @@
+"""Decides from reported progress whether work stands still, and who is at fault.
+
+Loads: gangs whose members finish at different times, long tasks on slow workers, and
+jobs that stand still wherever they run.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from geraniumwell.commands.batch.headroom import is_mostly_idle
+from geraniumwell.commands.batch.health import record_stall, record_suspected_stall
+from geraniumwell.commands.batch.lifecycle import (
+    find_step,
+    list_gang,
+    mark_job_unsaved,
+    stop_gang,
+)
+from geraniumwell.model.batch.capacity import Pool
+from geraniumwell.model.batch.cluster import Cluster, Order
+from geraniumwell.model.batch.job import Phase, StepRun, StopReason, Task
+from geraniumwell.model.batch.unit import Unit
+from geraniumwell.model.batch.worker import Worker
+
+# Time without progress after which a task stands still. Progress is reported in whole
+# percent, and workers are polled every second. The time is measured on the worker's
+# clock, because a report that is processed late, by a daemon that was paused or busy,
+# describes an earlier state.
+STALL_MS = 6_000
+# Multiple of the time that one percent of a task has taken so far. A long task on a
+# slow worker takes seconds for one percent.
+STALL_PERCENTS = 3
+FINISHED_PERCENT = 100
+# Number of workers that a step remembers from its latest stalls.
+REMEMBERED_WORKERS = 4
+# Number of stalls from which a step waits before it takes capacity again. The first may
+# be the fault of a worker.
+MIN_STALLS_FOR_PAUSE = 2
+# The wait after that number of stalls; it doubles with each further one.
+PAUSE_SECONDS = 2.0
+PAUSE_LIMIT_SECONDS = 30.0
+# In a mostly idle fleet the step takes capacity from no one. A job that fits there may
+# have nothing running for 3 s at most.
+IDLE_PAUSE_SECONDS = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Stall:
+    """Tasks of a gang, or a single task, that stand still.
+
+    Parameters
+    ----------
+    tasks : tuple of Task
+        Tasks that stand still; finished gang members are left out if others are not
+        finished.
+    stalled_ms : int
+        Longest time without progress among them.
+    """
+
+    step: StepRun
+    tasks: tuple[Task, ...]
+    stalled_ms: int
+
+
+def find_stalled_ms(worker: Worker, task: Task) -> int:
+    """Return the time without progress by the latest report, in milliseconds."""
+    if task.progressed_clock_ms is None:
+        return 0
+    return worker.clock_ms - task.progressed_clock_ms
+
+
+def find_percent_ms(task: Task) -> float | None:
+    """Return the milliseconds that one percent has taken so far, if that is known."""
+    if task.base_clock_ms is None or task.progressed_clock_ms is None:
+        return None
+    percent = task.progress - task.base_progress
+    if percent <= 0:
+        return None
+    return (task.progressed_clock_ms - task.base_clock_ms) / percent
+
+
+def is_still(worker: Worker, task: Task) -> bool:
+    """Return whether a running task has made no progress for too long."""
+    if task.phase is not Phase.RUNNING:
+        return False
+    limit_ms = max(STALL_MS, STALL_PERCENTS * (find_percent_ms(task) or 0.0))
+    return find_stalled_ms(worker, task) >= limit_ms
+
+
+def find_stall(cluster: Cluster, task: Task) -> Stall | None:
+    """Return the stall that a task is part of, or None if its gang makes progress.
+
+    Gang members end together, so a finished one stands still until the slowest is
+    through. A gang therefore stands still only if each member does, apart from finished
+    members beside unfinished ones.
+    """
+    worker = cluster.workers.get(task.worker)
+    if worker is None or not is_still(worker, task):
+        return None
+    step = find_step(cluster.jobs[task.id.job], task.id)
+    if step is None or step.spec.is_long_running:
+        return None
+    members = list_gang(cluster, task)
+    unfinished = [m for m in members if m.progress < FINISHED_PERCENT]
+    judged = unfinished or members
+    stalled_ms = 0
+    for member in judged:
+        worker = cluster.workers.get(member.worker)
+        if worker is None or not is_still(worker, member):
+            return None
+        stalled_ms = max(stalled_ms, find_stalled_ms(worker, member))
+    return Stall(step, tuple(judged), stalled_ms)
+
+
+def stop_stalled(cluster: Cluster, now: float) -> list[Order]:
+    """Stop tasks and gangs that stand still although their workers report them.
+
+    Only changed workers are checked, because each report marks its worker as changed.
+    """
+    orders: list[Order] = []
+    for name in sorted(cluster.changed_workers):
+        worker = cluster.workers.get(name)
+        for task in list(worker.tasks.values()) if worker else ():
+            if stall := find_stall(cluster, task):
+                record_blame(cluster, stall, now)
+                mark_job_unsaved(cluster, task.id.job)
+                orders += stop_gang(
+                    cluster, task, StopReason.STALLED, now, stall.stalled_ms
+                )
+    return orders
+
+
+def record_blame(cluster: Cluster, stall: Stall, now: float) -> None:
+    """Avoid the workers at fault for a stall, and count it for its step.
+
+    A worker on which another task moves works. A step that stood still before on other
+    workers is at fault itself, unless one of the workers is the same.
+    """
+    step = stall.step
+    names = sorted({task.worker for task in stall.tasks})
+    suspects = [
+        name
+        for name in names
+        if is_suspect(cluster.workers[name], stall.tasks)
+        and (not step.stalled_on or name in step.stalled_on)
+    ]
+    for name in suspects:
+        worker = cluster.workers[name]
+        if len(names) == 1 or name in step.stalled_on:
+            record_stall(worker, now)
+        else:
+            # One slow member holds up its whole gang, so most of these are healthy.
+            record_suspected_stall(worker, now)
+        cluster.mark_worker_changed(name)
+    step.stalls += 1
+    step.stalled_at = now
+    step.stalled_on = (*step.stalled_on, *names)[-REMEMBERED_WORKERS:]
+
+
+def is_suspect(worker: Worker, stalled: Iterable[Task]) -> bool:
+    """Return whether a worker may be at fault, because no other task moves there."""
+    ids = {task.id for task in stalled}
+    return not any(
+        task.phase is Phase.RUNNING
+        and task.id not in ids
+        and task.progress < FINISHED_PERCENT
+        and task.base_clock_ms is not None
+        and not is_still(worker, task)
+        for task in worker.tasks.values()
+    )
+
+
+def find_pause_seconds(step: StepRun) -> float:
+    """Return how long a step waits after its latest stall."""
+    if step.stalls < MIN_STALLS_FOR_PAUSE or not step.stalled_at:
+        return 0.0
+    doublings = min(step.stalls - MIN_STALLS_FOR_PAUSE, 10)
+    return min(PAUSE_SECONDS * 2**doublings, PAUSE_LIMIT_SECONDS)
+
+
+def is_paused(pool: Pool, unit: Unit, now: float) -> bool:
+    """Return whether a unit waits because its step stood still repeatedly."""
+    seconds = unit.pause_seconds
+    if not seconds:
+        return False
+    if is_mostly_idle(pool):
+        seconds = min(seconds, IDLE_PAUSE_SECONDS)
+    return now < unit.paused_since + seconds
--- /dev/null
+++ b/geraniumwell/commands/batch/speeds.py
@@ -0,0 +1,163 @@
+"""Estimates the speeds of workers from reported progress, and finds slow workers.
+
+Load: gangs and urgent jobs on a fleet of uneven workers. A gang takes as long as its
+slowest member, so one slow worker makes it miss its objective.
+
+The logarithm of the time that one percent of a run takes is the work of its step less
+the speed of its worker. Both are fitted by alternating least squares, because tasks of
+a step are alike and the estimates of their run times are too inaccurate. The work of a
+step is a median, which stragglers hardly affect.
+"""
+
+from collections import Counter, defaultdict
+from math import exp, log, sqrt
+from statistics import median
+
+from geraniumwell.commands.batch.lifecycle import find_step
+from geraniumwell.commands.batch.progress import FINISHED_PERCENT, find_percent_ms
+from geraniumwell.model.batch.capacity import Pool
+from geraniumwell.model.batch.cluster import Cluster
+from geraniumwell.model.batch.job import Task
+from geraniumwell.model.batch.speed import RateSample, SpeedIndex
+from geraniumwell.model.batch.unit import Unit
+from geraniumwell.model.batch.worker import Worker
+
+# Variance of the logarithm of one sample: tasks of a step differ by up to 30 percent.
+SAMPLE_VARIANCE = 0.09
+# Variance of the logarithm of the speed of an unknown worker.
+WORKER_VARIANCE = 0.16
+# Number of samples that the assumption of an ordinary speed counts as.
+PRIOR_SAMPLES = SAMPLE_VARIANCE / WORKER_VARIANCE
+# Time after which a sample no longer counts. A worker may be slowed for seconds.
+SAMPLE_SECONDS = 60.0
+# Largest deviation that counts: stragglers take many times as long as other tasks.
+DEVIATION_LIMIT = 1.0
+# Each fit starts from the last one, so few iterations are enough.
+FIT_ITERATIONS = 3
+# Percentage of a task over which its rate is measured; reports are in whole percent.
+MIN_SAMPLE_PERCENT = 20
+# A single sample of a worker may be that of a straggler.
+MIN_SAMPLES = 2
+# Speed relative to the median of the pool below which a worker is slow.
+SLOW_SHARE = 0.75
+# Number of standard deviations by which its speed has to be below the median.
+SLOW_CONFIDENCE = 1.5
+# The speeds change slowly compared with planning rounds.
+DERIVE_SECONDS = 0.5
+# Estimated run times are too short by up to half.
+ESTIMATE_MARGIN = 1.5
+
+
+def record_progress(
+    cluster: Cluster, worker: Worker, task: Task, percent: int, now: float
+) -> None:
+    """Record a changed percentage of a run, and measure its rate once per run.
+
+    The report that ``worker.clock_ms`` belongs to lists ``percent`` for the run.
+    """
+    task.progress, task.progressed_at = percent, now
+    task.progressed_clock_ms = worker.clock_ms
+    if task.base_clock_ms is None:
+        # Before that, a gang may still be waiting for its other members.
+        if percent > 0:
+            task.base_progress, task.base_clock_ms = percent, worker.clock_ms
+        return
+    # A finished member reached 100 percent at an unknown time before the report.
+    if task.has_speed_sample or percent >= FINISHED_PERCENT:
+        return
+    if percent - task.base_progress < MIN_SAMPLE_PERCENT:
+        return
+    percent_ms = find_percent_ms(task)
+    step = find_step(cluster.jobs[task.id.job], task.id)
+    if step is None or not percent_ms or step.spec.is_long_running:
+        return
+    task.has_speed_sample = True
+    key = (task.id.job, task.id.occurrence, task.id.step)
+    sample = RateSample(key, worker.entry.id, log(percent_ms), now)
+    cluster.speeds.samples.append(sample)
+    cluster.speeds.has_new_samples = True
+
+
+def forget_worker(index: SpeedIndex, name: str) -> None:
+    """Drop what is known of a worker, because another one may have its name now."""
+    if name not in index.counts and not index.has_new_samples:
+        return
+    kept = [sample for sample in index.samples if sample.worker != name]
+    index.samples.clear()
+    index.samples.extend(kept)
+    index.speeds.pop(name, None)
+    index.counts.pop(name, None)
+
+
+def refresh_slow_workers(cluster: Cluster, now: float) -> None:
+    """Derive the speeds and the slow workers of each pool again, if that is due."""
+    index = cluster.speeds
+    if now < index.derived_at + DERIVE_SECONDS:
+        return
+    index.derived_at = now
+    if drop_old_samples(index, now) or index.has_new_samples:
+        derive_speeds(index)
+    for pool in cluster.fleet.pools.values():
+        slow, factor = find_slow_workers(pool, index)
+        if slow != pool.slow_workers:
+            pool.slow_workers = slow
+            # The headroom is chosen among workers that are not slow.
+            pool.is_stale = True
+        pool.slow_factor = factor
+
+
+def drop_old_samples(index: SpeedIndex, now: float) -> bool:
+    """Drop the samples that no longer count; return whether there were any."""
+    before = len(index.samples)
+    while index.samples and now - index.samples[0].measured_at > SAMPLE_SECONDS:
+        index.samples.popleft()
+    return len(index.samples) < before
+
+
+def derive_speeds(index: SpeedIndex) -> None:
+    """Fit the speeds of all workers with samples."""
+    index.has_new_samples = False
+    index.counts = dict(Counter(sample.worker for sample in index.samples))
+    speeds = {name: index.speeds.get(name, 0.0) for name in index.counts}
+    by_step: dict[tuple[str, int, int], list[RateSample]] = defaultdict(list)
+    for sample in index.samples:
+        by_step[sample.step].append(sample)
+    for _ in range(FIT_ITERATIONS):
+        deviations = dict.fromkeys(speeds, 0.0)
+        for samples in by_step.values():
+            work = median(sample.log_ms + speeds[sample.worker] for sample in samples)
+            for sample in samples:
+                found = work - sample.log_ms
+                limited = max(-DEVIATION_LIMIT, min(DEVIATION_LIMIT, found))
+                deviations[sample.worker] += limited
+        speeds = {
+            name: total / (index.counts[name] + PRIOR_SAMPLES)
+            for name, total in deviations.items()
+        }
+    index.speeds = speeds
+
+
+def find_slow_workers(pool: Pool, index: SpeedIndex) -> tuple[frozenset[str], float]:
+    """Return the slow workers of a pool, and how many times as long they take."""
+    speeds = {
+        name: index.speeds[name] for name in pool.capacities if name in index.speeds
+    }
+    if not speeds:
+        return frozenset(), 1.0
+    middle = median(speeds.values())
+    behind: dict[str, float] = {}
+    for name, speed in speeds.items():
+        count = index.counts[name]
+        uncertainty = sqrt(SAMPLE_VARIANCE / (count + PRIOR_SAMPLES))
+        needed = max(-log(SLOW_SHARE), SLOW_CONFIDENCE * uncertainty)
+        if count >= MIN_SAMPLES and middle - speed > needed:
+            behind[name] = middle - speed
+    if not behind:
+        return frozenset(), 1.0
+    return frozenset(behind), exp(median(behind.values()))
+
+
+def can_afford_slow_worker(pool: Pool, unit: Unit, wall_now: float) -> bool:
+    """Return whether a unit would meet its objective on a slow worker too."""
+    needed = unit.spec.estimate_seconds * ESTIMATE_MARGIN * pool.slow_factor
+    return wall_now + needed <= unit.objective
--- a/geraniumwell/commands/batch/units.py
+++ b/geraniumwell/commands/batch/units.py
@@ -8,6 +8,7 @@
 from geraniumwell.commands.batch.capacity import find_reserved_resources
 from geraniumwell.commands.batch.lifecycle import is_step_ready, open_due_occurrences
 from geraniumwell.commands.batch.priorities import URGENT_PRIORITY, find_priority
+from geraniumwell.commands.batch.progress import find_pause_seconds
 from geraniumwell.model.batch.cluster import Cluster
 from geraniumwell.model.batch.job import ENDED_STATES, Job, Phase, StepRun, StepSpec
 from geraniumwell.model.batch.unit import PlacementShape, StepKey, Unit
@@ -114,9 +115,12 @@
         priority,
         job.spec.organisation,
         step.waiting_since,
+        objective,
         expires_at,
         (priority, has_expired, objective, job.sequence, *key[1:]),
         make_placement_shape(step.spec, service, priority, len(ids)),
+        step.stalled_at,
+        find_pause_seconds(step),
     )
 
 
--- a/geraniumwell/helpers/batch_log_fields.py
+++ b/geraniumwell/helpers/batch_log_fields.py
@@ -19,11 +19,18 @@
 
 
 def group_order_fields(orders: Iterable[StartTask | StopTask]) -> list[dict[str, Any]]:
-    """Return the fields of one line for each step and run among orders to workers."""
-    groups: dict[tuple[str, str, int], Counter[str]] = {}
+    """Return the fields of one line for each step and run among orders to workers.
+
+    Stops with different reasons get different lines.
+    """
+    groups: dict[tuple[str, str, int, str], Counter[str]] = {}
+    stalled_ms: dict[tuple[str, str, int, str], int] = {}
     for order in orders:
-        key = (order.id.job, format_step_id(order.id), order.run)
+        why = format_reason(order)
+        key = (order.id.job, format_step_id(order.id), order.run, why)
         groups.setdefault(key, Counter())[order.worker] += 1
+        if isinstance(order, StopTask) and order.stalled_ms is not None:
+            stalled_ms[key] = max(order.stalled_ms, stalled_ms.get(key, 0))
     return [
         {
             "job": job,
@@ -32,10 +39,20 @@
             "tasks": tasks_by_worker.total(),
             "on": " ".join(sorted(tasks_by_worker)),
         }
-        for (job, step, run), tasks_by_worker in groups.items()
+        | ({"why": why} if why else {})
+        | ({"since_ms": stalled_ms[key]} if key in stalled_ms else {})
+        for key, tasks_by_worker in groups.items()
+        for job, step, run, why in (key,)
     ]
 
 
+def format_reason(order: StartTask | StopTask) -> str:
+    """Return why a run is stopped; empty for starts."""
+    if isinstance(order, StopTask) and order.reason is not None:
+        return order.reason.value
+    return ""
+
+
 def group_end_fields(worker: str, ends: Iterable[EndedTask]) -> list[dict[str, Any]]:
     """Return the fields of one line for each step, run and kind of end on a worker."""
     groups = Counter(
--- a/geraniumwell/model/batch/capacity.py
+++ b/geraniumwell/model/batch/capacity.py
@@ -65,6 +65,10 @@
         Whether the headroom workers have to be chosen again.
     accelerators, free : int
         Total and free accelerators of all these workers.
+    slow_workers : frozenset of str
+        Names of the workers that are much slower than most others.
+    slow_factor : float
+        How many times as long a task takes on a slow worker as on most others.
     """
 
     capacities: dict[str, WorkerCapacity] = field(default_factory=dict)
@@ -75,6 +79,8 @@
     is_stale: bool = False
     accelerators: int = 0
     free: int = 0
+    slow_workers: frozenset[str] = frozenset()
+    slow_factor: float = 1.0
 
 
 @dataclass(slots=True)
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -4,7 +4,8 @@
 
 from geraniumwell.model.batch.capacity import FleetIndex
 from geraniumwell.model.batch.catalog import Catalog
-from geraniumwell.model.batch.job import Job, Task, TaskId
+from geraniumwell.model.batch.job import Job, StopReason, Task, TaskId
+from geraniumwell.model.batch.speed import SpeedIndex
 from geraniumwell.model.batch.unit import StepKey, UnitQueue
 from geraniumwell.model.batch.worker import Worker
 
@@ -84,6 +85,7 @@
     registered_count: int = 0
     fleet: FleetIndex = field(default_factory=FleetIndex)
     queue: UnitQueue = field(default_factory=UnitQueue)
+    speeds: SpeedIndex = field(default_factory=SpeedIndex)
 
     def mark_worker_changed(self, name: str) -> None:
         """Mark a worker as changed for the next planning round and the next poll."""
@@ -104,11 +106,21 @@
 
 @dataclass(slots=True, frozen=True)
 class StopTask:
-    """Order to stop a run of a task on a worker."""
+    """Order to stop a run of a task on a worker.
+
+    Parameters
+    ----------
+    reason : StopReason or None
+        Only for logs and metrics: two orders with different reasons are equal.
+    stalled_ms : int or None
+        For stalled runs, the time without progress on the worker's clock.
+    """
 
     worker: str
     id: TaskId
     run: int
+    reason: StopReason | None = field(default=None, compare=False)
+    stalled_ms: int | None = field(default=None, compare=False)
 
 
 Order = StartTask | StopTask
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -115,6 +115,19 @@
     FAILED = 5
 
 
+class StopReason(Enum):
+    """Why a run is stopped; the values are log fields and metric labels."""
+
+    STALLED = "stalled"
+    PREEMPTED = "preempted"
+    JOB_CANCELLED = "cancelled"
+    JOB_FAILED = "failed"
+    GANG_BROKEN = "gang_broken"
+    UNKNOWN_RUN = "unknown_run"
+    START_FAILED = "unanswered_start"
+    WORKER_LEAVING = "evacuated"
+
+
 ENDED_STATES = (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
 PLACED_PHASES = (Phase.STARTING, Phase.RUNNING, Phase.STOPPING)
 
@@ -142,8 +155,15 @@
     progressed_clock_ms : int or None
         The worker's clock when it first reported ``progress``; None before the first
         report of the run.
+    base_progress, base_clock_ms : int, int or None
+        The first percentage above 0 that the worker reported for this run, and its
+        clock at that time. The rate of the run is measured from there.
+    has_speed_sample : bool
+        Whether the rate of this run already counts for the speed of its worker.
     stopped_at : float or None
         Time of the latest stop order for this run.
+    stop_reason : StopReason or None
+        Why this run is stopped; None if it is not.
     failed_on : tuple of str
         Workers on which runs of the task failed.
     """
@@ -160,7 +180,11 @@
     progress: int = 0
     progressed_at: float = 0.0
     progressed_clock_ms: int | None = None
+    base_progress: int = 0
+    base_clock_ms: int | None = None
+    has_speed_sample: bool = False
     stopped_at: float | None = None
+    stop_reason: StopReason | None = None
     failed_on: tuple[str, ...] = ()
 
 
@@ -179,6 +203,12 @@
     broken_at : float
         Time at which the current run of a gang lost its first gang member; 0 before
         that.
+    stalls : int
+        Number of times that the step was stopped because it stood still.
+    stalled_on : tuple of str
+        Workers on which tasks of the step last stood still, the latest last.
+    stalled_at : float
+        Time of the last stall; 0 before the first one, and after a takeover.
     """
 
     spec: StepSpec
@@ -189,6 +219,9 @@
     failed_run: int = 0
     waiting_since: float = 0.0
     broken_at: float = 0.0
+    stalls: int = 0
+    stalled_on: tuple[str, ...] = ()
+    stalled_at: float = 0.0
 
     def is_done(self) -> bool:
         """Return whether all tasks have ended as done."""
--- a/geraniumwell/model/batch/unit.py
+++ b/geraniumwell/model/batch/unit.py
@@ -43,12 +43,17 @@
     ----------
     ids : tuple of TaskId
         The waiting tasks, sorted by index.
+    objective : float
+        Unix time by which the job should be done.
     expires_at : float
         Unix time after which the result has no value.
     sort_key : tuple
         Units with a lower key are more urgent.
     shape : PlacementShape or None
         None if the fit also depends on where other tasks of the step run.
+    paused_since, pause_seconds : float
+        Time from which a step that stood still repeatedly waits, and how long; 0 if it
+        does not.
     """
 
     key: StepKey
@@ -58,9 +63,12 @@
     priority: int
     organisation: str
     waiting_since: float
+    objective: float
     expires_at: float
     sort_key: tuple[float, ...]
     shape: PlacementShape | None
+    paused_since: float = 0.0
+    pause_seconds: float = 0.0
 
 
 @dataclass(slots=True)
--- a/tests/commands/batch/answers_steps.py
+++ b/tests/commands/batch/answers_steps.py
@@ -13,7 +13,7 @@
 from geraniumwell.commands.batch.capacity import is_eligible
 from geraniumwell.commands.batch.lifecycle import request_stop
 from geraniumwell.commands.batch.planning import plan
-from geraniumwell.model.batch.cluster import StartTask
+from geraniumwell.model.batch.cluster import StartTask, StopReason
 from geraniumwell.model.batch.job import Phase
 from geraniumwell.model.batch.worker import EndedTask, EndKind, RunningTask, StartResult
 from geraniumwell.queries.batch.status import count_pending, get_state
@@ -95,7 +95,8 @@
 
 @when('a run of "{name}" is accepted after its task was stopped')
 def step_accepted_after_stop(context: Context, name: str) -> None:
-    request_stop(context.cluster, list_tasks(context.cluster, name)[0], ANSWERED_AT)
+    task = list_tasks(context.cluster, name)[0]
+    request_stop(context.cluster, task, StopReason.JOB_CANCELLED, ANSWERED_AT)
     answer_start(context, StartResult.STARTED)
 
 
