Estimate which kinds of tasks slow each other down, and keep them apart

The number of tasks to keep apart from is a sort key of placement among workers with as many free accelerators. The table is one row of gw-control, written at most every 5 s, only while a pair is known, and restored at a takeover. pacing.py decides the pace of fillers beside serving tasks; placement keeps those apart as before.

--- a/geraniumwell/actors/batch/commit_state.py
+++ b/geraniumwell/actors/batch/commit_state.py
@@ -12,12 +12,14 @@
     TableTransaction,
 )
 from geraniumwell.codec.batch import decode_leader, encode_leader, encode_progress
+from geraniumwell.codec.interference import encode_interference
 from geraniumwell.codec.json import CodecError
 from geraniumwell.commands.batch.leadership import (
     HOLDER_VALID_SECONDS,
     RENEW_INTERVAL_SECONDS,
 )
 from geraniumwell.const import (
+    INTERFERENCE_KEY,
     LEADER_KEY,
     PARTITION_SCHEDULE,
     TABLE_CONTROL,
@@ -32,17 +34,20 @@
 )
 from geraniumwell.messages.serving import Tick
 from geraniumwell.model.batch.cluster import Cluster, StartTask
+from geraniumwell.model.batch.interference import InterferenceTable
 from geraniumwell.model.batch.leader import LeaderRow
 from geraniumwell.queries.batch.status import count_pending
 
 # The store accepts 100 entries in a transaction; the claim takes one write and one
-# condition.
+# condition, and the evidence of interference one write.
 JOBS_PER_TRANSACTION = 80
 REMOVALS_PER_TRANSACTION = 15
 # Suffix of the key of the row that holds a job's cancellation.
 CANCEL_SUFFIX = ".x"
 # Changes within this time share a transaction.
 TRANSACTION_GAP_SECONDS = 0.02
+# The evidence changes with each report, and a few seconds of it can be lost.
+INTERFERENCE_GAP_SECONDS = 5.0
 
 
 @dataclass(slots=True)
@@ -122,7 +127,7 @@
 
 
 def begin_transaction(
-    state: CommitState, cluster: Cluster, now: float
+    state: CommitState, cluster: Cluster, now: float, wall_now: float
 ) -> InFlightTransaction:
     """Put the pending changes into a transaction and mark it as in flight."""
     jobs = set(sorted(cluster.unsaved_jobs)[:JOBS_PER_TRANSACTION])
@@ -133,6 +138,7 @@
     for job_id in sorted(jobs & cluster.jobs.keys()):
         value = encode_progress(cluster.jobs[job_id])
         writes.append(RowWrite(TABLE_PROGRESS, job_id, value))
+    writes += make_interference_writes(cluster.interference, now, wall_now)
     job_ids = state.removals[:REMOVALS_PER_TRANSACTION]
     state.removals = state.removals[REMOVALS_PER_TRANSACTION:]
     removals = [RowRemoval(TABLE_PROGRESS, job_id) for job_id in job_ids]
@@ -160,6 +166,24 @@
     return state.in_flight
 
 
+def make_interference_writes(
+    table: InterferenceTable, now: float, wall_now: float
+) -> list[RowWrite]:
+    """Return the write of the interference row, if it is due.
+
+    Nothing is written while no pair is kept apart; a row from before is emptied.
+    """
+    is_needed = bool(table.opponents) or table.is_stored
+    if not is_needed or not table.has_unsaved_changes:
+        return []
+    if now < table.saved_at + INTERFERENCE_GAP_SECONDS:
+        return []
+    table.has_unsaved_changes, table.saved_at = False, now
+    table.is_stored = bool(table.opponents)
+    value = encode_interference(table, now, wall_now)
+    return [RowWrite(TABLE_CONTROL, INTERFERENCE_KEY, value)]
+
+
 def confirm_transaction(
     state: CommitState, cluster: Cluster, version: int
 ) -> InFlightTransaction:
--- a/geraniumwell/actors/batch/poll_results.py
+++ b/geraniumwell/actors/batch/poll_results.py
@@ -8,6 +8,8 @@
 from geraniumwell.clients.task_worker import OtherIncarnationError
 from geraniumwell.commands.batch.ends import apply_report
 from geraniumwell.commands.batch.health import record_unanswered_call
+from geraniumwell.commands.batch.interference import observe_report
+from geraniumwell.commands.batch.pacing import decide_pace
 from geraniumwell.helpers.batch_log_fields import group_end_fields
 from geraniumwell.helpers.batch_metrics import RUN_ENDS
 from geraniumwell.helpers.event_log import EVENT_LOG
@@ -36,6 +38,8 @@
                 EVENT_LOG.write("worker_heard", worker=message.worker)
             log_ends(worker, message)
             orders = apply_report(cluster, worker, report, sent_at, now, wall_now)
+            observe_report(cluster, worker, report, now)
+            orders += decide_pace(cluster, worker, now)
             if worker.has_unknown_runs:
                 worker.poll_after = now + UNKNOWN_RUN_RETRY_SECONDS
             elif poll.acknowledged_end < worker.last_saved_end:
--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -5,7 +5,9 @@
 from geraniumwell.actors.batch.commit_state import CANCEL_SUFFIX
 from geraniumwell.clients.table import StoredRow
 from geraniumwell.codec.batch import decode_progress, decode_spec
+from geraniumwell.codec.interference import decode_interference
 from geraniumwell.codec.json import CodecError
+from geraniumwell.commands.batch.interference import restore_pairs
 from geraniumwell.commands.batch.lifecycle import add_job, cancel_job
 from geraniumwell.commands.batch.registry import (
     apply_all_entries,
@@ -13,6 +15,7 @@
     apply_removed_entry,
     restore_job,
 )
+from geraniumwell.const import INTERFERENCE_KEY
 from geraniumwell.helpers.batch_metrics import UNREADABLE_ROWS
 from geraniumwell.helpers.event_log import EVENT_LOG
 from geraniumwell.model.batch.cluster import Cluster, Order
@@ -77,6 +80,20 @@
                 continue
             restore_job(self._cluster, job, now)
 
+    def restore_interference(
+        self, rows: tuple[StoredRow, ...], now: float, wall_now: float
+    ) -> None:
+        """Restore the evidence of interference that an earlier scheduler stored."""
+        for row in rows:
+            if row.key != INTERFERENCE_KEY or row.is_deleted:
+                continue
+            try:
+                pairs = decode_interference(row.value, now, wall_now)
+            except CodecError as exc:
+                self._report_unreadable("interference", row.key, exc)
+                continue
+            restore_pairs(self._cluster.interference, pairs)
+
     def apply_jobs(
         self, rows: tuple[StoredRow, ...], now: float, wall_now: float
     ) -> list[Order]:
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -15,6 +15,7 @@
 )
 from geraniumwell.actors.batch.end_reporter import EndReporter
 from geraniumwell.actors.batch.feeds import start_feeds
+from geraniumwell.actors.batch.interference_log import log_interference
 from geraniumwell.actors.batch.job_sweeper import JobSweeper
 from geraniumwell.actors.batch.messaging import tell
 from geraniumwell.actors.batch.order_dispatch import dispatch_orders
@@ -47,6 +48,7 @@
 from geraniumwell.const import (
     JOB_PARTITIONS,
     PARTITION_SCHEDULE,
+    TABLE_CONTROL,
     TABLE_JOBS,
     TABLE_PROGRESS,
 )
@@ -202,6 +204,8 @@
             for partition in JOB_PARTITIONS
         )
         jobs = found.rows
+        control = ranges[TablePartition(TABLE_CONTROL, PARTITION_SCHEDULE)]
+        self._row_applier.restore_interference(control.rows, now, wall_now)
         self._row_applier.apply_registry(registry.rows, now)
         self._row_applier.restore_jobs(jobs, progress.rows, now)
         self._dispatch(self._row_applier.apply_jobs(jobs, now, wall_now))
@@ -286,7 +290,9 @@
             return
         due = find_due_time(state, self._cluster)
         if now >= due:
-            in_flight = begin_transaction(state, self._cluster, now)
+            in_flight = begin_transaction(
+                state, self._cluster, now, stable_wall_seconds()
+            )
             tell(self._store, CommitRows(in_flight.row.counter, in_flight.transaction))
         elif (wait := self._renewal_timer.request(due, now)) is not None:
             self._tick_after(wait, "renew")
@@ -373,6 +379,7 @@
             self._end_reporter.forget(expired)
             tell(self._sweeper, RemoveJobRows(tuple(expired)))
         set_fleet_gauges(self._cluster)
+        log_interference(self._cluster.interference)
 
     def _run_due_actions(self) -> None:
         """Renew the claim and poll workers if that has become due."""
--- a/geraniumwell/actors/batch/scheduler_dependencies.py
+++ b/geraniumwell/actors/batch/scheduler_dependencies.py
@@ -10,6 +10,7 @@
 from geraniumwell.const import (
     JOB_PARTITIONS,
     PARTITION_SCHEDULE,
+    TABLE_CONTROL,
     TABLE_JOBS,
     TABLE_PROGRESS,
 )
@@ -45,6 +46,7 @@
     jobs = tuple(TablePartition(TABLE_JOBS, partition) for partition in JOB_PARTITIONS)
     return (
         TablePartition(TABLE_PROGRESS, PARTITION_SCHEDULE),
+        TablePartition(TABLE_CONTROL, PARTITION_SCHEDULE),
         TablePartition(registry, ""),
         *jobs,
     )
--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -1,12 +1,10 @@
 """Encoding of the rows of the batch service in the store."""
 
 from typing import Any
-from zlib import compress, crc32, decompress
-from zlib import error as ZlibError
+from zlib import crc32
 
-from msgspec.msgpack import decode, encode
-
-from geraniumwell.codec.json import DECODER_ERRORS, CodecError
+from geraniumwell.codec.json import CodecError
+from geraniumwell.codec.packed_rows import pack_row, unpack_row
 from geraniumwell.const import JOB_PARTITIONS
 from geraniumwell.model.batch.job import (
     Job,
@@ -20,20 +18,6 @@
 from geraniumwell.model.batch.leader import LeaderRow
 from geraniumwell.model.batch.peer import Peer
 
-# Rows are small and written often, so speed matters more than size.
-COMPRESSION_LEVEL = 1
-
-
-def _pack(value: Any) -> bytes:
-    return compress(encode(value), COMPRESSION_LEVEL)
-
-
-def _unpack(data: bytes, kind: Any) -> Any:
-    try:
-        return decode(decompress(data), type=kind)
-    except (ZlibError, *DECODER_ERRORS) as exc:
-        raise CodecError(f"row holds no {kind}: {exc}") from exc
-
 
 def find_job_partition(job_id: str) -> str:
     """Return the store partition of a job and its cancellation."""
@@ -42,7 +26,7 @@
 
 def encode_spec(spec: JobSpec) -> bytes:
     """Return the row of a job as it was submitted."""
-    return _pack(spec)
+    return pack_row(spec)
 
 
 def decode_spec(data: bytes) -> JobSpec:
@@ -53,12 +37,12 @@
     CodecError
         If the row holds something else.
     """
-    return _unpack(data, JobSpec)
+    return unpack_row(data, JobSpec)
 
 
 def encode_leader(row: LeaderRow) -> bytes:
     """Return the row of the leader."""
-    return _pack(row)
+    return pack_row(row)
 
 
 def decode_leader(data: bytes) -> LeaderRow:
@@ -69,12 +53,12 @@
     CodecError
         If the row holds something else.
     """
-    return _unpack(data, LeaderRow)
+    return unpack_row(data, LeaderRow)
 
 
 def encode_peer(peer: Peer) -> bytes:
     """Return the row of a daemon."""
-    return _pack(peer)
+    return pack_row(peer)
 
 
 def decode_peer(data: bytes) -> Peer:
@@ -85,20 +69,20 @@
     CodecError
         If the row holds something else.
     """
-    return _unpack(data, Peer)
+    return unpack_row(data, Peer)
 
 
 def encode_progress(job: Job) -> bytes:
     """Return the row of a job's progress, which for ended jobs holds no steps."""
     head = [job.state.value, job.has_begun, job.ended_at, job.opened_occurrences]
     if job.ended_at:
-        return _pack([*head, [], []])
+        return pack_row([*head, [], []])
     steps = [
         _encode_step(step)
         for step in job.steps.values()
         if step.occurrence not in job.finished_occurrences
     ]
-    return _pack([*head, sorted(job.finished_occurrences), steps])
+    return pack_row([*head, sorted(job.finished_occurrences), steps])
 
 
 def _encode_step(step: StepRun) -> list[Any]:
@@ -118,7 +102,7 @@
     CodecError
         If the row holds something else.
     """
-    value = _unpack(data, list)
+    value = unpack_row(data, list)
     try:
         return JobState(value[0]), bool(value[1])
     except (ValueError, IndexError) as exc:
@@ -133,7 +117,7 @@
     CodecError
         If the row holds something else.
     """
-    value = _unpack(data, list)
+    value = unpack_row(data, list)
     try:
         state, has_begun, ended_at, opened, finished, steps = value
         job = Job(spec, JobState(state), has_begun=has_begun, ended_at=ended_at)
--- a/geraniumwell/commands/batch/capacity.py
+++ b/geraniumwell/commands/batch/capacity.py
@@ -1,5 +1,6 @@
 """Free capacity of one worker, and how many tasks fit into it."""
 
+from geraniumwell.commands.batch.kinds import count_kinds
 from geraniumwell.commands.batch.priorities import (
     URGENT_PRIORITY,
     find_priority,
@@ -51,6 +52,8 @@
             org = job.spec.organisation
             capacity.urgent[org] = capacity.urgent.get(org, 0) + spec.needs.accelerators
         record_step(capacity, spec, task.id, 1)
+    if cluster.interference.opponents:
+        capacity.kinds = count_kinds(cluster, worker)
     return capacity
 
 
--- a/geraniumwell/commands/batch/indexing.py
+++ b/geraniumwell/commands/batch/indexing.py
@@ -17,6 +17,7 @@
     MIN_UNRESPONSIVE_WORKERS,
     find_unresponsive_data_centres,
 )
+from geraniumwell.commands.batch.interference import refresh_interference
 from geraniumwell.commands.batch.speeds import refresh_slow_workers
 from geraniumwell.model.batch.capacity import (
     CapacityBuckets,
@@ -49,7 +50,11 @@
         _rebuild(cluster, name, now)
     changed.clear()
     refresh_slow_workers(cluster, now)
+    if refresh_interference(cluster, now):
+        # Their kinds are counted only while some are kept apart.
+        changed.update(cluster.workers)
     for pool in fleet.pools.values():
+        pool.opponents = cluster.interference.opponents
         if pool.is_stale:
             pool.is_stale = False
             _set_headroom(pool, choose_headroom(pool))
@@ -180,5 +185,7 @@
         capacity.free_after_stops.subtract(needs)
         capacity.free_after_preemption.subtract(needs)
     record_step(capacity, unit.spec, unit.ids[0], count)
+    if pool.opponents:
+        capacity.kinds[unit.kind] = capacity.kinds.get(unit.kind, 0) + count
     _add_to_bucket(pool, capacity)
     cluster.changed_workers.add(capacity.worker.entry.id)
--- /dev/null
+++ b/geraniumwell/commands/batch/pacing.py
@@ -0,0 +1,159 @@
+"""Decides at which pace fillers may work beside tasks with a latency target.
+
+Load: workers on which fillers and serving tasks run together, for example after a
+takeover from a version that allowed it; placement keeps them apart. The load of the
+serving tasks and the effect of the fillers change within seconds.
+
+The pace is lowered by halves and raised in small steps. Each decrease doubles the calm
+time before the next increase, so the pace does not swing.
+"""
+
+from geraniumwell.commands.batch.lifecycle import stop_gang
+from geraniumwell.commands.batch.priorities import find_step_spec
+from geraniumwell.model.batch.capacity import WorkerCapacity
+from geraniumwell.model.batch.cluster import Cluster, Order, PaceChange, PaceTask
+from geraniumwell.model.batch.interference import PaceState
+from geraniumwell.model.batch.job import Phase, StopReason, Task
+from geraniumwell.model.batch.worker import Worker
+
+FULL_PERCENT = 100
+# Share of its target from which a tail is near it, and below which it is calm.
+NEAR_SHARE = 0.8
+CALM_SHARE = 0.6
+# Pace of fillers whose pace is not known, until the tails have been seen for a while.
+RESUMED_PERCENT = 20
+RAISE_PERCENT = 10
+RAISE_SECONDS = 3.0
+RAISE_LIMIT_SECONDS = 30.0
+# Time without a decrease after which the wait before an increase is short again.
+FORGET_SECONDS = 60.0
+# No task may exceed its target for 4.5 s because of fillers that keep working. A stop
+# takes up to a second, and reports arrive once a second.
+OVER_LIMIT_SECONDS = 1.5
+# A filler that stands still for longer gets more done elsewhere, from its checkpoint.
+HALT_LIMIT_SECONDS = 20.0
+
+
+def is_mixed(capacity: WorkerCapacity | None) -> bool:
+    """Return whether a worker has both fillers and serving tasks."""
+    return capacity is not None and capacity.has_fillers and capacity.has_serving_tasks
+
+
+def decide_pace(cluster: Cluster, worker: Worker, now: float) -> list[Order]:
+    """Return the orders that follow from the latest report of a worker.
+
+    An order that the worker has not confirmed is repeated.
+    """
+    paces, name = cluster.interference.paces, worker.entry.id
+    if not is_mixed(cluster.fleet.capacities.get(name)):
+        paces.pop(name, None)
+        return []
+    fillers, shares = find_mixed_tasks(cluster, worker)
+    if not fillers:
+        paces.pop(name, None)
+        return []
+    state = paces.setdefault(name, PaceState(wait_seconds=RAISE_SECONDS))
+    share = max(shares, default=None)
+    update_state(state, share, now)
+    current = min(
+        RESUMED_PERCENT if task.pace is None else task.pace for task in fillers
+    )
+    wanted = find_pace(state, share, current, now)
+    if stuck := find_stuck(state, fillers, wanted, now):
+        return [
+            order
+            for task in stuck
+            for order in stop_gang(cluster, task, StopReason.DISTURBING, now)
+        ]
+    return [
+        _set_pace(task, wanted, share)
+        for task in fillers
+        if task.pace != wanted or not task.is_pace_confirmed
+    ]
+
+
+def find_mixed_tasks(
+    cluster: Cluster, worker: Worker
+) -> tuple[list[Task], list[float]]:
+    """Return the running fillers, and the tails of serving tasks by target."""
+    fillers: list[Task] = []
+    shares: list[float] = []
+    for task in worker.tasks.values():
+        if task.phase is not Phase.RUNNING:
+            continue
+        spec = find_step_spec(cluster, task.id)
+        if spec.target_ms:
+            if task.usage is not None:
+                shares.append(task.usage / spec.target_ms)
+        elif spec.is_filler:
+            fillers.append(task)
+    return fillers, shares
+
+
+def update_state(state: PaceState, share: float | None, now: float) -> None:
+    """Record how long the worst tail has been over its target, or well below it."""
+    if share is None:
+        # Without a figure the pace is not raised, and the target counts as it did.
+        state.calm_since = None
+        return
+    if share < 1.0:
+        state.over_since = None
+    elif state.over_since is None:
+        state.over_since = now
+    if share >= CALM_SHARE:
+        state.calm_since = None
+    elif state.calm_since is None:
+        state.calm_since = now
+
+
+def find_pace(state: PaceState, share: float | None, current: int, now: float) -> int:
+    """Return the percentage at which the fillers of a worker should work."""
+    if share is not None and share >= NEAR_SHARE:
+        if current == 0:
+            if state.halted_since is None:
+                state.halted_since = now
+            return 0
+        record_decrease(state, now)
+        return 0 if share >= 1.0 else current // 2
+    if current == FULL_PERCENT or state.calm_since is None:
+        return current
+    if now - state.lowered_at > FORGET_SECONDS:
+        state.wait_seconds = RAISE_SECONDS
+    if now - state.calm_since < state.wait_seconds:
+        return current
+    state.calm_since = state.raised_at = now
+    state.halted_since = None
+    return min(FULL_PERCENT, current + RAISE_PERCENT)
+
+
+def record_decrease(state: PaceState, now: float) -> None:
+    """Record a decrease; the first one after an increase doubles the next wait."""
+    if state.raised_at > state.lowered_at:
+        state.wait_seconds = min(2 * state.wait_seconds, RAISE_LIMIT_SECONDS)
+    state.lowered_at = now
+
+
+def find_stuck(
+    state: PaceState, fillers: list[Task], wanted: int, now: float
+) -> list[Task]:
+    """Return the fillers to stop, because their pace does not help.
+
+    Those are fillers that may still work although a target has been exceeded for too
+    long, and all of them once they have stood still for long.
+    """
+    halted_since = now if state.halted_since is None else state.halted_since
+    if wanted == 0 and now - halted_since >= HALT_LIMIT_SECONDS:
+        return fillers
+    if state.over_since is None or now - state.over_since < OVER_LIMIT_SECONDS:
+        return []
+    return [task for task in fillers if task.pace != 0 or not task.is_pace_confirmed]
+
+
+def _set_pace(task: Task, percent: int, share: float | None) -> PaceTask:
+    change = PaceChange.REPEAT
+    if task.pace is None or percent < task.pace:
+        change = PaceChange.LOWER
+    elif percent > task.pace:
+        change = PaceChange.RAISE
+    task.pace, task.is_pace_confirmed = percent, False
+    return PaceTask(task.worker, task.id, task.run, percent, change, share)
--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -8,6 +8,7 @@
     find_reserved_resources,
     is_suitable,
 )
+from geraniumwell.commands.batch.interference import count_conflicts
 from geraniumwell.model.batch.capacity import CapacityBuckets, Pool, WorkerCapacity
 from geraniumwell.model.batch.resources import Resources
 from geraniumwell.model.batch.unit import Unit
@@ -54,9 +55,10 @@
     buckets = [pool.general, pool.headroom] if may_use_headroom else [pool.general]
     if not may_fit(buckets, unit):
         return []
+    opponents = pool.opponents.get(unit.kind, frozenset())
     if not unit.spec.rack and not unit.spec.is_same_rack:
-        return fill(iterate_fitting(buckets, unit, is_usable), unit)
-    fitting = list(iterate_fitting(buckets, unit, is_usable))
+        return fill(iterate_fitting(buckets, unit, is_usable, opponents), unit)
+    fitting = list(iterate_fitting(buckets, unit, is_usable, opponents))
     return place_locally(fitting, unit) or (
         fill(fitting, unit) if is_remote_allowed() else []
     )
@@ -129,6 +131,7 @@
     buckets: list[CapacityBuckets],
     unit: Unit,
     is_usable: Callable[[WorkerCapacity], bool] | None = None,
+    opponents: frozenset[str] = frozenset(),
 ) -> Iterator[tuple[WorkerCapacity, int]]:
     """Yield the workers on which tasks of a unit fit now, the least free one first."""
     levels = sorted({free for bucket in buckets for free in bucket})
@@ -141,13 +144,20 @@
             for capacity in bucket.get(free, {}).values()
             if is_usable is None or is_usable(capacity)
         ]
-        yield from find_fitting(capacities, unit, get_free)
+        yield from find_fitting(capacities, unit, get_free, opponents)
 
 
 def find_fitting(
-    capacities: Iterable[WorkerCapacity], unit: Unit, get_resources: GetResources
+    capacities: Iterable[WorkerCapacity],
+    unit: Unit,
+    get_resources: GetResources,
+    opponents: frozenset[str] = frozenset(),
 ) -> Placement:
-    """Return the workers on which tasks of a unit fit, the least free one first."""
+    """Return the workers on which tasks of a unit fit, the least free one first.
+
+    Among workers with as many free accelerators, those with the fewest tasks of the
+    kinds in ``opponents`` come first. This changes where a unit starts, but not when.
+    """
     needs = find_reserved_resources(unit.spec)
     wanted = needs.accelerators
     max_tasks = len(unit.ids)
@@ -161,15 +171,18 @@
         if count := count_fitting(amount, needs, max_tasks):
             fitting.append((capacity, count))
     # Using the least free worker first keeps whole workers idle for large tasks.
-    fitting.sort(key=lambda item: _get_fullness_key(item[0], get_resources(item[0])))
+    fitting.sort(
+        key=lambda item: _get_sort_key(item[0], get_resources(item[0]), opponents)
+    )
     return fitting
 
 
-def _get_fullness_key(
-    capacity: WorkerCapacity, amount: Resources
-) -> tuple[int, int, int, str]:
+def _get_sort_key(
+    capacity: WorkerCapacity, amount: Resources, opponents: frozenset[str]
+) -> tuple[int, int, int, int, str]:
+    conflicts = count_conflicts(capacity, opponents) if opponents else 0
     name = capacity.worker.entry.id
-    return (amount.accelerators, amount.memory_mb, amount.cpu_millis, name)
+    return (amount.accelerators, conflicts, amount.memory_mb, amount.cpu_millis, name)
 
 
 def place_in_one_rack(fitting: Placement, unit: Unit) -> Placement:
--- a/geraniumwell/commands/batch/registry.py
+++ b/geraniumwell/commands/batch/registry.py
@@ -99,6 +99,7 @@
     worker.lease_until = find_lease_bound(cluster.policy, now)
     task.start_settled_at = task.started_at = task.progressed_at = now
     task.is_start_sent = True
+    # The earlier scheduler may have ordered any pace.
     task.pace = None
     if task.phase is Phase.STOPPING:
         # The earlier scheduler may have ended before it sent the stop order.
--- a/geraniumwell/commands/batch/speeds.py
+++ b/geraniumwell/commands/batch/speeds.py
@@ -13,6 +13,11 @@
 from math import exp, log, sqrt
 from statistics import median
 
+from geraniumwell.commands.batch.kinds import (
+    count_active_kinds,
+    find_kind,
+    list_neighbours,
+)
 from geraniumwell.commands.batch.lifecycle import find_step
 from geraniumwell.commands.batch.progress import FINISHED_PERCENT, find_percent_ms
 from geraniumwell.model.batch.capacity import Pool
@@ -73,9 +78,17 @@
         return
     task.has_speed_sample = True
     key = (task.id.job, task.id.occurrence, task.id.step)
-    sample = RateSample(key, worker.entry.id, log(percent_ms), now)
+    kind = find_kind(cluster.jobs[task.id.job].spec, task.id.step)
+    # A neighbour counts if it has worked for at least half of the measurement.
+    measured_seconds = percent_ms * (percent - task.base_progress) / 1000
+    kinds = count_active_kinds(cluster, worker, now - measured_seconds / 2)
+    neighbours = list_neighbours(kinds, kind)
+    name = worker.entry.id
+    sample = RateSample(key, name, log(percent_ms), now, kind, neighbours)
     cluster.speeds.samples.append(sample)
     cluster.speeds.has_new_samples = True
+    if neighbours:
+        cluster.interference.new_rates.append(sample)
 
 
 def forget_worker(index: SpeedIndex, name: str) -> None:
--- a/geraniumwell/commands/batch/units.py
+++ b/geraniumwell/commands/batch/units.py
@@ -6,6 +6,7 @@
 from heapq import heappop, heappush
 
 from geraniumwell.commands.batch.capacity import find_reserved_resources
+from geraniumwell.commands.batch.kinds import find_kind
 from geraniumwell.commands.batch.lifecycle import is_step_ready, open_due_occurrences
 from geraniumwell.commands.batch.priorities import URGENT_PRIORITY, find_priority
 from geraniumwell.commands.batch.progress import find_pause_seconds
@@ -121,6 +122,7 @@
         make_placement_shape(step.spec, service, priority, len(ids)),
         step.stalled_at,
         find_pause_seconds(step),
+        find_kind(job.spec, step.step),
     )
 
 
--- a/geraniumwell/const.py
+++ b/geraniumwell/const.py
@@ -93,6 +93,7 @@
 TABLE_JOBS: Final = "gw-jobs"
 TABLE_PROGRESS: Final = "gw-progress"
 LEADER_KEY: Final = "leader"
+INTERFERENCE_KEY: Final = "interference"
 # The store runs the transactions of a partition one after another. The schedule has its
 # own partition and jobs are spread over many, so that a slow store can absorb a burst.
 PARTITION_DAEMONS: Final = "daemons"
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -34,6 +34,13 @@
     "geraniumwell_batch_slow_workers",
     "Workers that are much slower than most others of their service.",
 )
+INTERFERING_PAIRS = Gauge(
+    "geraniumwell_batch_interfering_pairs",
+    "Pairs of kinds of tasks that are kept apart where capacity allows.",
+)
+PACES = Counter(
+    "geraniumwell_batch_paces", "Pace orders to workers by direction.", ("direction",)
+)
 RUN_ENDS = Counter("geraniumwell_batch_ends", "Ends of runs by kind.", ("kind",))
 PLAN_SECONDS = Histogram(
     "geraniumwell_batch_plan_seconds",
--- a/geraniumwell/model/batch/capacity.py
+++ b/geraniumwell/model/batch/capacity.py
@@ -29,6 +29,8 @@
         Number of tasks of each step that has a limit per worker, by step key.
     is_headroom : bool
         Whether the worker is reserved for urgent work.
+    kinds : dict
+        Number of tasks of each kind; empty while no pair of kinds is kept apart.
     """
 
     worker: Worker
@@ -41,6 +43,7 @@
     has_serving_tasks: bool = False
     counts: dict[tuple[str, int, int], int] = field(default_factory=dict)
     is_headroom: bool = False
+    kinds: dict[str, int] = field(default_factory=dict)
 
 
 # Capacities by number of free accelerators, then by worker name.
@@ -69,6 +72,8 @@
         Names of the workers that are much slower than most others.
     slow_factor : float
         How many times as long a task takes on a slow worker as on most others.
+    opponents : dict
+        For each kind of task that is kept apart from others, the kinds of those.
     """
 
     capacities: dict[str, WorkerCapacity] = field(default_factory=dict)
@@ -81,6 +86,7 @@
     free: int = 0
     slow_workers: frozenset[str] = frozenset()
     slow_factor: float = 1.0
+    opponents: dict[str, frozenset[str]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -1,9 +1,11 @@
 """State of the batch scheduler of a deployment, and its orders to workers."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from geraniumwell.model.batch.capacity import FleetIndex
 from geraniumwell.model.batch.catalog import Catalog
+from geraniumwell.model.batch.interference import InterferenceTable
 from geraniumwell.model.batch.job import Job, StopReason, Task, TaskId
 from geraniumwell.model.batch.speed import SpeedIndex
 from geraniumwell.model.batch.unit import StepKey, UnitQueue
@@ -86,6 +88,7 @@
     fleet: FleetIndex = field(default_factory=FleetIndex)
     queue: UnitQueue = field(default_factory=UnitQueue)
     speeds: SpeedIndex = field(default_factory=SpeedIndex)
+    interference: InterferenceTable = field(default_factory=InterferenceTable)
 
     def mark_worker_changed(self, name: str) -> None:
         """Mark a worker as changed for the next planning round and the next poll."""
@@ -123,14 +126,32 @@
     stalled_ms: int | None = field(default=None, compare=False)
 
 
+class PaceChange(Enum):
+    """Direction of a pace order; the values are log fields and metric labels."""
+
+    LOWER = "lower"
+    RAISE = "raise"
+    REPEAT = "repeat"
+
+
 @dataclass(slots=True, frozen=True)
 class PaceTask:
-    """Order to let a run work at a percentage of its full pace."""
+    """Order to let a run work at a percentage of its full pace.
+
+    Parameters
+    ----------
+    change : PaceChange or None
+        Only for logs and metrics, like ``share``.
+    share : float or None
+        The worst tail beside the run as a share of its target; None if unknown.
+    """
 
     worker: str
     id: TaskId
     run: int
     percent: int
+    change: PaceChange | None = field(default=None, compare=False)
+    share: float | None = field(default=None, compare=False)
 
 
 Order = StartTask | StopTask | PaceTask
--- a/geraniumwell/model/batch/speed.py
+++ b/geraniumwell/model/batch/speed.py
@@ -19,12 +19,18 @@
         Natural logarithm of the milliseconds that one percent took.
     measured_at : float
         Monotonic time of the report.
+    kind : str
+        Kind of the task.
+    neighbours : frozenset of str
+        Kinds of the tasks that worked beside the run while it was measured.
     """
 
     step: tuple[str, int, int]
     worker: str
     log_ms: float
     measured_at: float
+    kind: str = ""
+    neighbours: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
--- a/geraniumwell/model/batch/unit.py
+++ b/geraniumwell/model/batch/unit.py
@@ -54,6 +54,8 @@
     paused_since, pause_seconds : float
         Time from which a step that stood still repeatedly waits, and how long; 0 if it
         does not.
+    kind : str
+        Kind of the tasks.
     """
 
     key: StepKey
@@ -69,6 +71,7 @@
     shape: PlacementShape | None
     paused_since: float = 0.0
     pause_seconds: float = 0.0
+    kind: str = ""
 
 
 @dataclass(slots=True)
