Accept two workers as the reference of a step, and take the slower one

Cause: steps of few tasks rarely run on three workers without a neighbour, so pairs were known late.

Change: two workers are enough; of two the slower is the reference, so a worker that reports too fast a rate makes no other seem disturbed.

--- a/geraniumwell/commands/batch/references.py
+++ b/geraniumwell/commands/batch/references.py
@@ -13,7 +13,7 @@
 
 # Workers with runs of a step, and runs on a worker, without the neighbour that a
 # comparison needs. One may be a straggler, or report wrong figures.
-MIN_STEP_WORKERS = 3
+MIN_STEP_WORKERS = 2
 MIN_WORKER_SAMPLES = 3
 MIN_TAIL_WORKERS = 2
 # Largest age of a tail that is compared with a new one: the load changes in seconds.
@@ -63,7 +63,7 @@
                 if other not in sample.neighbours
             }
             is_enough = len(found) >= MIN_STEP_WORKERS
-            self._work[key] = median(found.values()) if is_enough else None
+            self._work[key] = median_high(found.values()) if is_enough else None
         return self._work[key]
 
     def _find_speed(self, worker: str, other: str) -> float | None:
