--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -156,7 +156,7 @@
     """Return the workers on which tasks of a unit fit, the least free one first.
 
     Among workers with as many free accelerators, those with the fewest tasks of the
-    kinds in ``opponents`` come first. This changes where a unit starts, but not when.
+    kinds in ``opponents`` come first. The free accelerators that remain are the same.
     """
     needs = find_reserved_resources(unit.spec)
     wanted = needs.accelerators
--- a/geraniumwell/commands/batch/references.py
+++ b/geraniumwell/commands/batch/references.py
@@ -12,7 +12,8 @@
 from geraniumwell.model.batch.unit import StepKey
 
 # Workers with runs of a step, and runs on a worker, without the neighbour that a
-# comparison needs. One may be a straggler, or report wrong figures.
+# comparison needs. One may be a straggler or report wrong figures; of two workers the
+# slower counts, because with the faster one all others would seem disturbed.
 MIN_STEP_WORKERS = 2
 MIN_WORKER_SAMPLES = 3
 MIN_TAIL_WORKERS = 2
