--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -50,16 +50,24 @@
         answer affects the placement.
     is_usable : callable or None
         Returns whether a worker may be used; None if all of them may.
+
+    Notes
+    -----
+    A gang is placed in one data centre if it fits into one: if any member's data centre
+    is cut off from the others, the whole gang is lost.
     """
     buckets = [pool.general, pool.headroom] if may_use_headroom else [pool.general]
     if not may_fit(buckets, unit):
         return []
-    if not unit.spec.rack and not unit.spec.is_same_rack:
+    is_local = bool(unit.spec.rack or unit.spec.is_same_rack)
+    if not is_local and not unit.spec.is_gang:
         return fill(iterate_fitting(buckets, unit, is_usable), unit)
     fitting = list(iterate_fitting(buckets, unit, is_usable))
-    return place_locally(fitting, unit) or (
-        fill(fitting, unit) if is_remote_allowed() else []
-    )
+    if is_local:
+        found = place_locally(fitting, unit)
+        if found or not is_remote_allowed():
+            return found
+    return place_in_one_group(fitting, unit, get_data_centre) or fill(fitting, unit)
 
 
 def place(
@@ -88,7 +96,7 @@
             item for item in fitting if item[0].worker.entry.rack == unit.spec.rack
         ]
         return fill(local, unit)
-    return place_in_one_rack(fitting, unit)
+    return place_in_one_group(fitting, unit, get_rack)
 
 
 def is_placed_locally(placement: Placement, unit: Unit) -> bool:
@@ -106,7 +114,8 @@
         return bool(find_fitting(capacities, unit, get_total))
     if not unit.spec.is_same_rack:
         return True
-    return bool(place_in_one_rack(find_fitting(capacities, unit, get_total), unit))
+    fitting = find_fitting(capacities, unit, get_total)
+    return bool(place_in_one_group(fitting, unit, get_rack))
 
 
 def may_fit(buckets: list[CapacityBuckets], unit: Unit) -> bool:
@@ -172,17 +181,29 @@
     return (amount.accelerators, amount.memory_mb, amount.cpu_millis, name)
 
 
-def place_in_one_rack(fitting: Placement, unit: Unit) -> Placement:
-    """Return a placement in the rack that has the least capacity left after it.
+def get_rack(capacity: WorkerCapacity) -> str:
+    """Return the rack of a worker."""
+    return capacity.worker.entry.rack
+
+
+def get_data_centre(capacity: WorkerCapacity) -> str:
+    """Return the data centre of a worker."""
+    return capacity.worker.entry.data_centre
+
+
+def place_in_one_group(
+    fitting: Placement, unit: Unit, get_group: Callable[[WorkerCapacity], str]
+) -> Placement:
+    """Return a placement in the group that has the least capacity left after it.
 
-    It is empty if the unit fits into no rack.
+    Groups are racks or data centres. The placement is empty if the unit fits into none.
     """
-    by_rack: dict[str, Placement] = {}
+    by_group: dict[str, Placement] = {}
     for item in fitting:
-        by_rack.setdefault(item[0].worker.entry.rack, []).append(item)
+        by_group.setdefault(get_group(item[0]), []).append(item)
     best: Placement = []
     best_unused = 0
-    for items in by_rack.values():
+    for items in by_group.values():
         found = fill(items, unit)
         if not found:
             continue
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -22,7 +22,12 @@
     place,
     place_now,
 )
-from geraniumwell.commands.batch.preemption import find_preemption, is_guaranteed
+from geraniumwell.commands.batch.preemption import (
+    COSTLY_RETRY_SECONDS,
+    find_preemption,
+    is_guaranteed,
+    is_too_costly,
+)
 from geraniumwell.commands.batch.priorities import URGENT_PRIORITY
 from geraniumwell.commands.batch.progress import is_paused, stop_stalled
 from geraniumwell.commands.batch.speeds import can_afford_slow_worker
@@ -294,7 +299,19 @@
         for capacity, count in found:
             allocate(cluster, capacity, unit, count)
         return []
+    step = find_step_run(cluster, unit.key)
+    if step is None or now < step.preempt_after:
+        reserve_awaited_workers(cluster, pool, unit, step)
+        return []
     preemption = find_preemption(cluster, capacities, unit, now)
+    if preemption is not None and is_too_costly(preemption, unit, now):
+        step.preempt_after = now + COSTLY_RETRY_SECONDS
+        step.awaited_workers = tuple(
+            (capacity.worker.entry.id, count)
+            for capacity, count in preemption.placement
+        )
+        reserve_awaited_workers(cluster, pool, unit, step)
+        return []
     if preemption is None:
         if unit.shape is not None:
             cache.unpreemptible.add(unit.shape)
@@ -305,3 +322,12 @@
     for capacity, count in preemption.placement:
         allocate(cluster, capacity, unit, count)
     return orders
+
+
+def reserve_awaited_workers(
+    cluster: Cluster, pool: Pool, unit: Unit, step: StepRun | None
+) -> None:
+    """Keep other work off the workers on which a unit waits for tasks to end."""
+    for name, count in step.awaited_workers if step else ():
+        if (capacity := pool.capacities.get(name)) is not None:
+            allocate(cluster, capacity, unit, count)
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -209,6 +209,11 @@
         Workers on which tasks of the step last stood still, the latest last.
     stalled_at : float
         Time of the last stall; 0 before the first one, and after a takeover.
+    preempt_after : float
+        Time from which a preemption for the step is looked for again.
+    awaited_workers : tuple
+        Workers on which the step waits until then for tasks that end by themselves,
+        each with a number of tasks.
     """
 
     spec: StepSpec
@@ -222,6 +227,8 @@
     stalls: int = 0
     stalled_on: tuple[str, ...] = ()
     stalled_at: float = 0.0
+    preempt_after: float = 0.0
+    awaited_workers: tuple[tuple[str, int], ...] = ()
 
     def is_done(self) -> bool:
         """Return whether all tasks have ended as done."""
