Correct the blame for stalls, and fit speeds to the last runs of each worker

Change: independent tasks fill preferred workers first and others at once; one stall for a step and a time; only workers that took part in every stall of a step are blamed; 1 s of pause at most for guaranteed work; stalls in a row of their own beside the progress row; eight samples for each worker; the earlier estimate as prior; odd reports are ignored; the limit follows the estimate while no rate is known.

--- a/geraniumwell/actors/batch/commit_state.py
+++ b/geraniumwell/actors/batch/commit_state.py
@@ -11,7 +11,12 @@
     RowWrite,
     TableTransaction,
 )
-from geraniumwell.codec.batch import decode_leader, encode_leader, encode_progress
+from geraniumwell.codec.batch import (
+    decode_leader,
+    encode_leader,
+    encode_progress,
+    encode_stalls,
+)
 from geraniumwell.codec.json import CodecError
 from geraniumwell.commands.batch.leadership import (
     HOLDER_VALID_SECONDS,
@@ -39,6 +44,9 @@
 # condition.
 JOBS_PER_TRANSACTION = 80
 REMOVALS_PER_TRANSACTION = 15
+STALL_ROWS_PER_TRANSACTION = 3
+# Suffix of the key of the row that holds a job's stalls, beside its progress.
+STALLS_SUFFIX = ".stalls"
 # Suffix of the key of the row that holds a job's cancellation.
 CANCEL_SUFFIX = ".x"
 # Changes within this time share a transaction.
@@ -76,7 +84,7 @@
     orders : list of StartTask
         Starts to be sent once their tasks are stored.
     removals : list of str
-        Jobs whose progress is to be removed; their own rows already are.
+        Keys of the progress rows to remove; the rows of their jobs already are.
     """
 
     holder: str
@@ -133,9 +141,10 @@
     for job_id in sorted(jobs & cluster.jobs.keys()):
         value = encode_progress(cluster.jobs[job_id])
         writes.append(RowWrite(TABLE_PROGRESS, job_id, value))
-    job_ids = state.removals[:REMOVALS_PER_TRANSACTION]
+    writes += take_stall_rows(cluster)
+    keys = state.removals[:REMOVALS_PER_TRANSACTION]
     state.removals = state.removals[REMOVALS_PER_TRANSACTION:]
-    removals = [RowRemoval(TABLE_PROGRESS, job_id) for job_id in job_ids]
+    removals = [RowRemoval(TABLE_PROGRESS, key) for key in keys]
     transaction = TableTransaction(
         (Condition(TABLE_CONTROL, LEADER_KEY, state.version),),
         tuple(writes),
@@ -160,6 +169,30 @@
     return state.in_flight
 
 
+def take_stall_rows(cluster: Cluster) -> list[RowWrite]:
+    """Return the rows of some jobs whose stalls have changed."""
+    jobs = sorted(cluster.unsaved_stalls)[:STALL_ROWS_PER_TRANSACTION]
+    cluster.unsaved_stalls.difference_update(jobs)
+    known = [job_id for job_id in jobs if job_id in cluster.jobs]
+    cluster.jobs_with_stall_rows.update(known)
+    return [
+        RowWrite(
+            TABLE_PROGRESS, job_id + STALLS_SUFFIX, encode_stalls(cluster.jobs[job_id])
+        )
+        for job_id in known
+    ]
+
+
+def add_removals(
+    state: CommitState, cluster: Cluster, job_ids: tuple[str, ...]
+) -> None:
+    """Queue the removal of all progress rows of some jobs."""
+    state.removals += job_ids
+    for job_id in cluster.jobs_with_stall_rows.intersection(job_ids):
+        cluster.jobs_with_stall_rows.discard(job_id)
+        state.removals.append(job_id + STALLS_SUFFIX)
+
+
 def confirm_transaction(
     state: CommitState, cluster: Cluster, version: int
 ) -> InFlightTransaction:
--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from geraniumwell.actors.batch.commit_state import CANCEL_SUFFIX
+from geraniumwell.actors.batch.commit_state import CANCEL_SUFFIX, STALLS_SUFFIX
 from geraniumwell.clients.table import StoredRow
-from geraniumwell.codec.batch import decode_progress, decode_spec
+from geraniumwell.codec.batch import decode_progress, decode_spec, decode_stalls
 from geraniumwell.codec.json import CodecError
 from geraniumwell.commands.batch.lifecycle import add_job, cancel_job
 from geraniumwell.commands.batch.registry import (
@@ -16,6 +16,7 @@
 from geraniumwell.helpers.batch_metrics import UNREADABLE_ROWS
 from geraniumwell.helpers.event_log import EVENT_LOG
 from geraniumwell.model.batch.cluster import Cluster, Order
+from geraniumwell.model.batch.job import Job
 from geraniumwell.model.batch.worker import WorkerEntry
 
 
@@ -75,8 +76,18 @@
             except CodecError as exc:
                 self._report_unreadable("job", row.key, exc)
                 continue
+            self._restore_stalls(job, stored.get(row.key + STALLS_SUFFIX))
             restore_job(self._cluster, job, now)
 
+    def _restore_stalls(self, job: Job, value: bytes | None) -> None:
+        if value is None:
+            return
+        self._cluster.jobs_with_stall_rows.add(job.spec.id)
+        try:
+            decode_stalls(value, job)
+        except CodecError as exc:
+            self._report_unreadable("stalls", job.spec.id, exc)
+
     def apply_jobs(
         self, rows: tuple[StoredRow, ...], now: float, wall_now: float
     ) -> list[Order]:
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -6,6 +6,7 @@
 
 from geraniumwell.actors.batch.commit_state import (
     CommitState,
+    add_removals,
     affects_claim,
     begin_transaction,
     confirm_transaction,
@@ -188,7 +189,7 @@
             case Tick("resend"):
                 self._resend()
             case JobRowsRemoved(ids):
-                self._commits.removals += ids
+                add_removals(self._commits, self._cluster, ids)
             case ActorFailed(name):
                 self._end(f"the actor {name} has failed")
         self._run_due_actions()
--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -105,9 +105,36 @@
     tasks = [
         [t.phase.value, t.run, t.failures, t.worker, t.checkpoint] for t in step.tasks
     ]
-    row = [step.occurrence, step.step, step.gang_failures, step.failed_run, tasks]
-    # Earlier versions read rows of five fields only.
-    return [*row, step.stalls, step.stalled_on] if step.stalls else row
+    return [step.occurrence, step.step, step.gang_failures, step.failed_run, tasks]
+
+
+def encode_stalls(job: Job) -> bytes:
+    """Return the row of a job's stalls.
+
+    It is not part of the progress row, which earlier versions could not read then.
+    """
+    return _pack(
+        [
+            [step.occurrence, step.step, step.stalls, step.stall_suspects]
+            for step in job.steps.values()
+            if step.stalls
+        ]
+    )
+
+
+def decode_stalls(data: bytes, job: Job) -> None:
+    """Restore the stalls of a job from their row.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    for occurrence, number, stalls, suspects in _unpack(
+        data, list[tuple[int, int, int, tuple[str, ...]]]
+    ):
+        if step := job.steps.get((occurrence, number)):
+            step.stalls, step.stall_suspects = stalls, suspects
 
 
 def decode_state(data: bytes) -> tuple[JobState, bool]:
@@ -154,11 +181,9 @@
 
 
 def _restore_step(job: Job, item: list[Any]) -> None:
-    occurrence, number, gang_failures, failed_run, tasks, *stalls = item
+    occurrence, number, gang_failures, failed_run, tasks = item
     step = job.steps[occurrence, number]
     step.gang_failures, step.failed_run = gang_failures, failed_run
-    if stalls:
-        step.stalls, step.stalled_on = int(stalls[0]), tuple(stalls[1])
     for task, row in zip(step.tasks, tasks, strict=True):
         _restore_task(task, row)
 
--- a/geraniumwell/commands/batch/ends.py
+++ b/geraniumwell/commands/batch/ends.py
@@ -14,7 +14,8 @@
     mark_job_unsaved,
     release_task,
 )
-from geraniumwell.commands.batch.speeds import forget_worker, record_progress
+from geraniumwell.commands.batch.progress import clear_stalls
+from geraniumwell.commands.batch.speeds import record_progress
 from geraniumwell.model.batch.cluster import Cluster, Order, StopTask
 from geraniumwell.model.batch.job import (
     ENDED_STATES,
@@ -26,6 +27,7 @@
     StopReason,
     Task,
 )
+from geraniumwell.model.batch.speed import forget_worker
 from geraniumwell.model.batch.worker import (
     EndedTask,
     EndKind,
@@ -190,6 +192,7 @@
         member.phase = Phase.DONE
         if member.worker:
             cluster.mark_worker_changed(member.worker)
+    clear_stalls(cluster, step)
     mark_job_unsaved(cluster, job.spec.id)
     if job.state not in ENDED_STATES:
         complete_occurrence(cluster, job, step.occurrence, wall_now)
--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -70,6 +70,30 @@
     return place_in_one_group(fitting, unit, get_data_centre) or fill(fitting, unit)
 
 
+def place_in_order(
+    pool: Pool,
+    unit: Unit,
+    may_use_headroom: bool,
+    has_property: Callable[[WorkerCapacity], bool],
+    preferred: bool,
+) -> Placement:
+    """Return a placement of independent tasks that fills preferred workers first.
+
+    Empty for tasks that prefer a rack: data in the rack matters more.
+
+    Parameters
+    ----------
+    has_property : callable
+        Returns the property of a worker that has to equal ``preferred``.
+    """
+    if unit.spec.rack:
+        return []
+    buckets = [pool.general, pool.headroom] if may_use_headroom else [pool.general]
+    fitting = list(iterate_fitting(buckets, unit))
+    fitting.sort(key=lambda item: has_property(item[0]) is not preferred)
+    return fill(fitting, unit)
+
+
 def place(
     capacities: Iterable[WorkerCapacity],
     unit: Unit,
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -20,6 +20,7 @@
     get_free_after_stops,
     is_placed_locally,
     place,
+    place_in_order,
     place_now,
 )
 from geraniumwell.commands.batch.preemption import (
@@ -63,6 +64,9 @@
     ----------
     unfit : set
         Shapes that fit on no worker, each with whether the headroom was tried too.
+    unfit_by_speed : set
+        Gang shapes that fit on workers of both speeds only, each with whether the
+        headroom was tried too and whether slow workers were preferred.
     unpreemptible : set of PlacementShape
         Shapes that would not fit after a preemption either.
     fits_locally : dict
@@ -70,6 +74,9 @@
     """
 
     unfit: set[tuple[PlacementShape, bool]] = field(default_factory=set)
+    unfit_by_speed: set[tuple[PlacementShape | None, bool, bool]] = field(
+        default_factory=set
+    )
     unpreemptible: set[PlacementShape] = field(default_factory=set)
     fits_locally: dict[PlacementShape, bool] = field(default_factory=dict)
 
@@ -135,9 +142,11 @@
     use = dict(cluster.fleet.urgent_use)
     for unit in list(cluster.queue.units):
         pool = cluster.fleet.pools.get(unit.service)
-        if pool is None or is_paused(pool, unit, now):
+        if pool is None:
             continue
         may_preempt = is_guaranteed(cluster, unit, use)
+        if is_paused(pool, unit, may_preempt, now):
+            continue
         found = find_placement(pool, unit, may_preempt, cache, now, wall_now)
         if found:
             orders += start_unit(cluster, unit, found, now)
@@ -176,7 +185,7 @@
         cache.unfit.add((unit.shape, can_use_headroom))
     if not found or not pool.slow_workers:
         return found
-    return place_by_speed(pool, unit, found, can_use_headroom, wall_now)
+    return place_by_speed(pool, unit, found, can_use_headroom, cache, wall_now)
 
 
 def place_by_speed(
@@ -184,21 +193,37 @@
     unit: Unit,
     found: Placement,
     can_use_headroom: bool,
+    cache: RoundCache,
     wall_now: float,
 ) -> Placement:
-    """Return a placement on workers of one kind, fast or slow, or ``found``.
+    """Return a placement on workers of the preferred speed, or ``found``.
 
     Work that can afford it takes slow workers first, so that fast ones stay free for
-    urgent work. A gang on both kinds would take as long as on slow workers alone.
+    urgent work. A gang on both kinds would take as long as on slow workers alone, so it
+    is placed on one kind if it fits there.
     """
     prefers_slow = unit.priority != URGENT_PRIORITY and can_afford_slow_worker(
         pool, unit, wall_now
     )
     slow = pool.slow_workers
-    if all((c.worker.entry.id in slow) is prefers_slow for c, _ in found):
+    kinds = {capacity.worker.entry.id in slow for capacity, _ in found}
+    key = (unit.shape, can_use_headroom, prefers_slow)
+    if kinds == {prefers_slow} or key in cache.unfit_by_speed:
         return found
+    if not unit.spec.is_gang:
+        return (
+            place_in_order(
+                pool,
+                unit,
+                can_use_headroom,
+                lambda c: c.worker.entry.id in slow,
+                prefers_slow,
+            )
+            or found
+        )
     is_local = is_placed_locally(found, unit)
-    for wants_slow in (prefers_slow, not prefers_slow):
+    choices = [prefers_slow] if len(kinds) == 1 else [prefers_slow, not prefers_slow]
+    for wants_slow in choices:
         better = place_now(
             pool,
             unit,
@@ -208,6 +233,8 @@
         )
         if better:
             return better
+    if unit.shape is not None:
+        cache.unfit_by_speed.add(key)
     return found
 
 
--- a/geraniumwell/commands/batch/progress.py
+++ b/geraniumwell/commands/batch/progress.py
@@ -15,6 +15,7 @@
     mark_job_unsaved,
     stop_gang,
 )
+from geraniumwell.commands.batch.priorities import find_step_spec
 from geraniumwell.model.batch.capacity import Pool
 from geraniumwell.model.batch.cluster import Cluster, Order
 from geraniumwell.model.batch.job import Phase, StepRun, StopReason, Task
@@ -26,20 +27,22 @@
 # clock, because a report that is processed late, by a daemon that was paused or busy,
 # describes an earlier state.
 STALL_MS = 6_000
-# Multiple of the time that one percent of a task has taken so far. A long task on a
-# slow worker takes seconds for one percent.
+# Number of percent, at the rate so far or else by the estimate, that a task may take
+# longer than that for. A long task on a slow worker takes seconds for one percent.
 STALL_PERCENTS = 3
 FINISHED_PERCENT = 100
-# Number of workers that a step remembers from its latest stalls.
-REMEMBERED_WORKERS = 4
+# Gangs on more workers than this name no suspects; their rows would become too large.
+SUSPECT_LIMIT = 32
+# Time after which the stalls of a step no longer count.
+STALL_MEMORY_SECONDS = 120.0
 # Number of stalls from which a step waits before it takes capacity again. The first may
 # be the fault of a worker.
 MIN_STALLS_FOR_PAUSE = 2
 # The wait after that number of stalls; it doubles with each further one.
 PAUSE_SECONDS = 2.0
 PAUSE_LIMIT_SECONDS = 30.0
-# In a mostly idle fleet the step takes capacity from no one. A job that fits there may
-# have nothing running for 3 s at most.
+# The same in a mostly idle fleet, where a job that fits may have nothing running for
+# 3 s at most, and for guaranteed work.
 IDLE_PAUSE_SECONDS = 1.0
 
 
@@ -73,17 +76,21 @@
     if task.base_clock_ms is None or task.progressed_clock_ms is None:
         return None
     percent = task.progress - task.base_progress
-    if percent <= 0:
+    elapsed_ms = task.progressed_clock_ms - task.base_clock_ms
+    if percent <= 0 or elapsed_ms <= 0:
         return None
-    return (task.progressed_clock_ms - task.base_clock_ms) / percent
+    return elapsed_ms / percent
 
 
-def is_still(worker: Worker, task: Task) -> bool:
+def has_stalled(cluster: Cluster, worker: Worker, task: Task) -> bool:
     """Return whether a running task has made no progress for too long."""
-    if task.phase is not Phase.RUNNING:
+    stalled_ms = find_stalled_ms(worker, task)
+    if task.phase is not Phase.RUNNING or stalled_ms < STALL_MS:
         return False
-    limit_ms = max(STALL_MS, STALL_PERCENTS * (find_percent_ms(task) or 0.0))
-    return find_stalled_ms(worker, task) >= limit_ms
+    percent_ms = find_percent_ms(task)
+    if percent_ms is None:
+        percent_ms = find_step_spec(cluster, task.id).estimate_seconds * 1000 / 100
+    return stalled_ms >= STALL_PERCENTS * percent_ms
 
 
 def find_stall(cluster: Cluster, task: Task) -> Stall | None:
@@ -94,7 +101,7 @@
     members beside unfinished ones.
     """
     worker = cluster.workers.get(task.worker)
-    if worker is None or not is_still(worker, task):
+    if worker is None or not has_stalled(cluster, worker, task):
         return None
     step = find_step(cluster.jobs[task.id.job], task.id)
     if step is None or step.spec.is_long_running:
@@ -105,7 +112,7 @@
     stalled_ms = 0
     for member in judged:
         worker = cluster.workers.get(member.worker)
-        if worker is None or not is_still(worker, member):
+        if worker is None or not has_stalled(cluster, worker, member):
             return None
         stalled_ms = max(stalled_ms, find_stalled_ms(worker, member))
     return Stall(step, tuple(judged), stalled_ms)
@@ -132,31 +139,51 @@
 def record_blame(cluster: Cluster, stall: Stall, now: float) -> None:
     """Avoid the workers at fault for a stall, and count it for its step.
 
-    A worker on which another task moves works. A step that stood still before on other
-    workers is at fault itself, unless one of the workers is the same.
+    A worker on which another task moves works. Only workers that took part in every
+    stall of a step can be at fault; if there is none, the step is.
     """
     step = stall.step
-    names = sorted({task.worker for task in stall.tasks})
+    if step.stalled_at and now - step.stalled_at > STALL_MEMORY_SECONDS:
+        clear_stalls(cluster, step)
     suspects = [
         name
-        for name in names
-        if is_suspect(cluster.workers[name], stall.tasks)
-        and (not step.stalled_on or name in step.stalled_on)
+        for name in sorted({task.worker for task in stall.tasks})
+        if may_be_at_fault(cluster, cluster.workers[name], stall.tasks)
+        and (not step.stalls or name in step.stall_suspects)
     ]
+    is_first = not step.stalls
+    if step.stalled_at != now:
+        # Several tasks of one step on a frozen worker stall at the same time.
+        step.stalls += 1
+        step.stall_suspects = tuple(suspects) if len(suspects) <= SUSPECT_LIMIT else ()
+        avoid_suspects(cluster, suspects, is_first, now)
+    step.stalled_at = now
+    cluster.unsaved_stalls.add(stall.tasks[0].id.job)
+
+
+def avoid_suspects(
+    cluster: Cluster, suspects: list[str], is_first: bool, now: float
+) -> None:
+    """Avoid the workers that may be at fault for a stall of a step."""
     for name in suspects:
         worker = cluster.workers[name]
-        if len(names) == 1 or name in step.stalled_on:
+        if len(suspects) == 1:
             record_stall(worker, now)
-        else:
+        elif is_first:
             # One slow member holds up its whole gang, so most of these are healthy.
             record_suspected_stall(worker, now)
         cluster.mark_worker_changed(name)
-    step.stalls += 1
-    step.stalled_at = now
-    step.stalled_on = (*step.stalled_on, *names)[-REMEMBERED_WORKERS:]
 
 
-def is_suspect(worker: Worker, stalled: Iterable[Task]) -> bool:
+def clear_stalls(cluster: Cluster, step: StepRun) -> None:
+    """Forget the stalls of a step that works, or that stood still long ago."""
+    if not step.stalls:
+        return
+    step.stalls, step.stall_suspects, step.stalled_at = 0, (), 0.0
+    cluster.unsaved_stalls.add(step.tasks[0].id.job)
+
+
+def may_be_at_fault(cluster: Cluster, worker: Worker, stalled: Iterable[Task]) -> bool:
     """Return whether a worker may be at fault, because no other task moves there."""
     ids = {task.id for task in stalled}
     return not any(
@@ -164,7 +191,7 @@
         and task.id not in ids
         and task.progress < FINISHED_PERCENT
         and task.base_clock_ms is not None
-        and not is_still(worker, task)
+        and find_stalled_ms(worker, task) < STALL_MS
         for task in worker.tasks.values()
     )
 
@@ -177,11 +204,11 @@
     return min(PAUSE_SECONDS * 2**doublings, PAUSE_LIMIT_SECONDS)
 
 
-def is_paused(pool: Pool, unit: Unit, now: float) -> bool:
+def is_paused(pool: Pool, unit: Unit, is_guaranteed: bool, now: float) -> bool:
     """Return whether a unit waits because its step stood still repeatedly."""
     seconds = unit.pause_seconds
     if not seconds:
         return False
-    if is_mostly_idle(pool):
+    if is_guaranteed or is_mostly_idle(pool):
         seconds = min(seconds, IDLE_PAUSE_SECONDS)
     return now < unit.paused_since + seconds
--- a/geraniumwell/commands/batch/registry.py
+++ b/geraniumwell/commands/batch/registry.py
@@ -4,8 +4,9 @@
 from geraniumwell.commands.batch.leases import find_lease_bound
 from geraniumwell.commands.batch.lifecycle import register_job
 from geraniumwell.model.batch.cluster import Cluster
-from geraniumwell.model.batch.job import Job, Phase, Task
+from geraniumwell.model.batch.job import Job, Phase, StopReason, Task
 from geraniumwell.model.batch.resources import Resources
+from geraniumwell.model.batch.speed import forget_worker
 from geraniumwell.model.batch.worker import Worker, WorkerEntry, WorkerState
 
 
@@ -38,7 +39,7 @@
     cluster.mark_worker_changed(worker_id)
     if worker.tasks:
         return False
-    del cluster.workers[worker_id]
+    remove_worker(cluster, worker_id)
     return True
 
 
@@ -64,11 +65,17 @@
         if worker.state is WorkerState.UNREGISTERED and not worker.tasks
     ]
     for worker_id in unregistered:
-        cluster.mark_worker_changed(worker_id)
-        del cluster.workers[worker_id]
+        remove_worker(cluster, worker_id)
     return unregistered
 
 
+def remove_worker(cluster: Cluster, worker_id: str) -> None:
+    """Remove a worker and what is known of it."""
+    cluster.mark_worker_changed(worker_id)
+    del cluster.workers[worker_id]
+    forget_worker(cluster.speeds, worker_id)
+
+
 def restore_job(cluster: Cluster, job: Job, now: float) -> None:
     """Restore a stored job; its placed tasks may still be running."""
     register_job(cluster, job)
@@ -101,5 +108,5 @@
     task.is_start_sent = True
     if task.phase is Phase.STOPPING:
         # The earlier scheduler may have ended before it sent the stop order.
-        task.stopped_at = now
+        task.stopped_at, task.stop_reason = now, StopReason.RESTORED
         cluster.stopping_tasks[task.id] = task
--- a/geraniumwell/commands/batch/speeds.py
+++ b/geraniumwell/commands/batch/speeds.py
@@ -4,22 +4,27 @@
 slowest member, so one slow worker makes it miss its objective.
 
 The logarithm of the time that one percent of a run takes is the work of its step less
-the speed of its worker. Both are fitted by alternating least squares, because tasks of
-a step are alike and the estimates of their run times are too inaccurate. The work of a
-step is a median, which stragglers hardly affect.
+the speed of its worker. Both are fitted in turn, because tasks of a step are alike and
+the estimates of their run times are too inaccurate. Both are medians, which stragglers
+hardly affect.
 """
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from math import exp, log, sqrt
 from statistics import median
 
-from geraniumwell.commands.batch.lifecycle import find_step
+from geraniumwell.commands.batch.lifecycle import find_step_run
 from geraniumwell.commands.batch.progress import FINISHED_PERCENT, find_percent_ms
 from geraniumwell.model.batch.capacity import Pool
 from geraniumwell.model.batch.cluster import Cluster
 from geraniumwell.model.batch.job import Task
-from geraniumwell.model.batch.speed import RateSample, SpeedIndex
-from geraniumwell.model.batch.unit import Unit
+from geraniumwell.model.batch.speed import (
+    RateSample,
+    SpeedIndex,
+    add_sample,
+    forget_worker,
+)
+from geraniumwell.model.batch.unit import StepKey, Unit
 from geraniumwell.model.batch.worker import Worker
 
 # Variance of the logarithm of one sample: tasks of a step differ by up to 30 percent.
@@ -33,7 +38,7 @@
 # Largest deviation that counts: stragglers take many times as long as other tasks.
 DEVIATION_LIMIT = 1.0
 # Each fit starts from the last one, so few iterations are enough.
-FIT_ITERATIONS = 3
+FIT_ITERATIONS = 2
 # Percentage of a task over which its rate is measured; reports are in whole percent.
 MIN_SAMPLE_PERCENT = 20
 # A single sample of a worker may be that of a straggler.
@@ -43,7 +48,7 @@
 # Number of standard deviations by which its speed has to be below the median.
 SLOW_CONFIDENCE = 1.5
 # The speeds change slowly compared with planning rounds.
-DERIVE_SECONDS = 0.5
+DERIVE_SECONDS = 1.0
 # Estimated run times are too short by up to half.
 ESTIMATE_MARGIN = 1.5
 
@@ -68,25 +73,13 @@
     if percent - task.base_progress < MIN_SAMPLE_PERCENT:
         return
     percent_ms = find_percent_ms(task)
-    step = find_step(cluster.jobs[task.id.job], task.id)
-    if step is None or not percent_ms or step.spec.is_long_running:
-        return
-    task.has_speed_sample = True
     key = (task.id.job, task.id.occurrence, task.id.step)
-    sample = RateSample(key, worker.entry.id, log(percent_ms), now)
-    cluster.speeds.samples.append(sample)
-    cluster.speeds.has_new_samples = True
-
-
-def forget_worker(index: SpeedIndex, name: str) -> None:
-    """Drop what is known of a worker, because another one may have its name now."""
-    if name not in index.counts and not index.has_new_samples:
+    # A stopping task of a removed job may still be reported.
+    step = find_step_run(cluster, key)
+    if step is None or percent_ms is None or step.spec.is_long_running:
         return
-    kept = [sample for sample in index.samples if sample.worker != name]
-    index.samples.clear()
-    index.samples.extend(kept)
-    index.speeds.pop(name, None)
-    index.counts.pop(name, None)
+    task.has_speed_sample = True
+    add_sample(cluster.speeds, worker.entry.id, RateSample(key, log(percent_ms), now))
 
 
 def refresh_slow_workers(cluster: Cluster, now: float) -> None:
@@ -108,31 +101,38 @@
 
 def drop_old_samples(index: SpeedIndex, now: float) -> bool:
     """Drop the samples that no longer count; return whether there were any."""
-    before = len(index.samples)
-    while index.samples and now - index.samples[0].measured_at > SAMPLE_SECONDS:
-        index.samples.popleft()
-    return len(index.samples) < before
+    is_changed = False
+    for worker, samples in list(index.samples.items()):
+        while samples and now - samples[0].measured_at > SAMPLE_SECONDS:
+            samples.popleft()
+            is_changed = True
+        if not samples:
+            forget_worker(index, worker)
+    return is_changed
 
 
 def derive_speeds(index: SpeedIndex) -> None:
     """Fit the speeds of all workers with samples."""
     index.has_new_samples = False
-    index.counts = dict(Counter(sample.worker for sample in index.samples))
-    speeds = {name: index.speeds.get(name, 0.0) for name in index.counts}
-    by_step: dict[tuple[str, int, int], list[RateSample]] = defaultdict(list)
-    for sample in index.samples:
-        by_step[sample.step].append(sample)
+    by_step: dict[StepKey, list[tuple[str, float]]] = defaultdict(list)
+    for worker, samples in index.samples.items():
+        for sample in samples:
+            by_step[sample.step].append((worker, sample.log_ms))
+    earlier = {worker: index.speeds.get(worker, 0.0) for worker in index.samples}
+    speeds = earlier
     for _ in range(FIT_ITERATIONS):
-        deviations = dict.fromkeys(speeds, 0.0)
-        for samples in by_step.values():
-            work = median(sample.log_ms + speeds[sample.worker] for sample in samples)
-            for sample in samples:
-                found = work - sample.log_ms
-                limited = max(-DEVIATION_LIMIT, min(DEVIATION_LIMIT, found))
-                deviations[sample.worker] += limited
+        deviations: dict[str, list[float]] = defaultdict(list)
+        for pairs in by_step.values():
+            work = median(log_ms + speeds[worker] for worker, log_ms in pairs)
+            for worker, log_ms in pairs:
+                limited = max(-DEVIATION_LIMIT, min(DEVIATION_LIMIT, work - log_ms))
+                deviations[worker].append(limited)
+        # The earlier estimate stands for the prior: steps that ran on workers of one
+        # kind only say nothing about the difference to others.
         speeds = {
-            name: total / (index.counts[name] + PRIOR_SAMPLES)
-            for name, total in deviations.items()
+            worker: (median(found) * len(found) + earlier[worker] * PRIOR_SAMPLES)
+            / (len(found) + PRIOR_SAMPLES)
+            for worker, found in deviations.items()
         }
     index.speeds = speeds
 
@@ -144,20 +144,25 @@
     }
     if not speeds:
         return frozenset(), 1.0
-    middle = median(speeds.values())
-    behind: dict[str, float] = {}
+    usual_speed = median(speeds.values())
+    lags: dict[str, float] = {}
     for name, speed in speeds.items():
-        count = index.counts[name]
+        count = len(index.samples[name])
         uncertainty = sqrt(SAMPLE_VARIANCE / (count + PRIOR_SAMPLES))
-        needed = max(-log(SLOW_SHARE), SLOW_CONFIDENCE * uncertainty)
-        if count >= MIN_SAMPLES and middle - speed > needed:
-            behind[name] = middle - speed
-    if not behind:
+        threshold = max(-log(SLOW_SHARE), SLOW_CONFIDENCE * uncertainty)
+        if count >= MIN_SAMPLES and usual_speed - speed > threshold:
+            lags[name] = usual_speed - speed
+    if not lags:
         return frozenset(), 1.0
-    return frozenset(behind), exp(median(behind.values()))
+    return frozenset(lags), exp(median(lags.values()))
 
 
 def can_afford_slow_worker(pool: Pool, unit: Unit, wall_now: float) -> bool:
-    """Return whether a unit would meet its objective on a slow worker too."""
+    """Return whether a unit loses nothing on a slow worker.
+
+    It still meets its objective there, or its result has no value any more.
+    """
+    if wall_now > unit.expires_at:
+        return True
     needed = unit.spec.estimate_seconds * ESTIMATE_MARGIN * pool.slow_factor
     return wall_now + needed <= unit.objective
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -28,7 +28,9 @@
     "Looks that extended no lease, because the claim ran out before they were sent.",
 )
 STOPS = Counter(
-    "geraniumwell_batch_stops", "Stop orders to workers by reason.", ("reason",)
+    "geraniumwell_batch_stops",
+    "Stop orders to workers, repeated ones included, by reason.",
+    ("reason",),
 )
 SLOW_WORKERS = Gauge(
     "geraniumwell_batch_slow_workers",
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -42,6 +42,8 @@
         Data centres whose workers get no new tasks.
     unsaved_jobs : set of str
         Ids of the jobs whose progress is not stored yet.
+    unsaved_stalls, jobs_with_stall_rows : set of str
+        Ids of the jobs whose stalls have changed, and of those with stored stalls.
     early_cancelled_jobs : set of str
         Ids of the jobs that were cancelled before their definition arrived.
     changed_workers, changed_jobs : set of str
@@ -72,6 +74,8 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     unsaved_jobs: set[str] = field(default_factory=set)
+    unsaved_stalls: set[str] = field(default_factory=set)
+    jobs_with_stall_rows: set[str] = field(default_factory=set)
     early_cancelled_jobs: set[str] = field(default_factory=set)
     changed_workers: set[str] = field(default_factory=set)
     changed_jobs: set[str] = field(default_factory=set)
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -126,6 +126,7 @@
     UNKNOWN_RUN = "unknown_run"
     START_FAILED = "unanswered_start"
     WORKER_LEAVING = "evacuated"
+    RESTORED = "restored"
 
 
 ENDED_STATES = (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
@@ -205,8 +206,8 @@
         that.
     stalls : int
         Number of times that the step was stopped because it stood still.
-    stalled_on : tuple of str
-        Workers on which tasks of the step last stood still, the latest last.
+    stall_suspects : tuple of str
+        Workers that took part in each of these stalls, and may be at fault.
     stalled_at : float
         Time of the last stall; 0 before the first one, and after a takeover.
     preempt_after : float
@@ -225,7 +226,7 @@
     waiting_since: float = 0.0
     broken_at: float = 0.0
     stalls: int = 0
-    stalled_on: tuple[str, ...] = ()
+    stall_suspects: tuple[str, ...] = ()
     stalled_at: float = 0.0
     preempt_after: float = 0.0
     awaited_workers: tuple[tuple[str, int], ...] = ()
--- a/geraniumwell/model/batch/speed.py
+++ b/geraniumwell/model/batch/speed.py
@@ -3,8 +3,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-# Number of samples that are kept. It covers some runs on each of some hundred workers.
-SAMPLE_LIMIT = 2_000
+# Number of samples that are kept of each worker.
+SAMPLES_PER_WORKER = 8
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,7 +22,6 @@
     """
 
     step: tuple[str, int, int]
-    worker: str
     log_ms: float
     measured_at: float
 
@@ -33,21 +32,31 @@
 
     Parameters
     ----------
+    samples : dict
+        Latest samples of each worker, by worker name, the oldest first.
     speeds : dict
         Natural logarithm of the speed of each worker with samples, by worker name. Only
         differences between workers have a meaning.
-    counts : dict
-        Number of samples of each of these workers.
     has_new_samples : bool
         Whether samples were added since the speeds were last derived.
     derived_at : float
         Time at which the speeds were last derived.
     """
 
-    samples: deque[RateSample] = field(
-        default_factory=lambda: deque(maxlen=SAMPLE_LIMIT)
-    )
+    samples: dict[str, deque[RateSample]] = field(default_factory=dict)
     speeds: dict[str, float] = field(default_factory=dict)
-    counts: dict[str, int] = field(default_factory=dict)
     has_new_samples: bool = False
     derived_at: float = 0.0
+
+
+def add_sample(index: SpeedIndex, worker: str, sample: RateSample) -> None:
+    """Add the rate of a run; the oldest sample of the worker may be dropped."""
+    samples = index.samples.setdefault(worker, deque(maxlen=SAMPLES_PER_WORKER))
+    samples.append(sample)
+    index.has_new_samples = True
+
+
+def forget_worker(index: SpeedIndex, worker: str) -> None:
+    """Drop what is known of a worker that left, or whose name another one may have."""
+    index.samples.pop(worker, None)
+    index.speeds.pop(worker, None)
--- a/tests/commands/batch/progress.feature
+++ b/tests/commands/batch/progress.feature
@@ -1,4 +1,4 @@
-Feature: Only work that really stands still is stopped, and only its cause pays for it
+Feature: Stalled work is stopped, and only the worker or step at fault is avoided
 
   # Guards against the repeated restart of a whole gang whose fastest member has finished.
   Scenario: A finished gang member beside one that moves is no stall
@@ -79,3 +79,46 @@
     And the job "j" stood still once on the worker "elsewhere"
     When another scheduler restores the job "j"
     Then the job "j" has 1 stall on the worker "elsewhere"
+
+  # Guards against a step that pauses for half a minute because one worker is frozen.
+  Scenario: Several tasks of a step on one frozen worker count as one stall
+    Given workers in the racks "r1 r1"
+    And a job "j" of 8 tasks with 1 accelerators
+    And the scheduler planned at second 1
+    And all tasks of "j" report 20 percent at second 2
+    And all tasks of "j" report 20 percent at second 9
+    When the scheduler plans at second 9
+    Then the job "j" has 1 stall on the worker "w1"
+    And only the worker of task 0 of "j" is avoided at second 30
+
+  # Guards against a guarantee that can't be claimed for half a minute.
+  Scenario: A guaranteed step that stood still often pauses for a second only
+    Given workers in the racks "r1"
+    And an urgent job "u" of 1 tasks with 8 accelerators
+    And the job "u" stood still 6 times until second 10
+    When the scheduler plans at second 10.9
+    Then no task is started
+    When the scheduler plans at second 11
+    Then 1 task is started
+
+  # Guards against a step that returns every other second although others wait.
+  Scenario: The pause doubles with each stall while others wait
+    Given workers in the racks "r1"
+    And a job "other" of 1 tasks with 5 accelerators
+    And the scheduler planned at second 1
+    And a job "j" of 1 tasks with 1 accelerators
+    And the job "j" stood still 4 times until second 10
+    When the scheduler plans at second 17.9
+    Then no task is started
+    When the scheduler plans at second 18
+    Then 1 task is started
+
+  # Guards against a long task that can never run, because its first percent takes longer
+  # than the limit.
+  Scenario: The limit of a task without a known rate follows its estimate
+    Given workers in the racks "r1"
+    And a job "j" of 1 tasks with 1 accelerators that takes 900 seconds
+    And the scheduler planned at second 1
+    And the tasks of "j" report "0" percent at second 20
+    When the scheduler plans at second 20
+    Then no order is issued
--- a/tests/commands/batch/progress_steps.py
+++ b/tests/commands/batch/progress_steps.py
@@ -40,7 +40,25 @@
 @given('the job "{name}" stood still once on the worker "{worker}"')
 def step_stood_still(context: Context, name: str, worker: str) -> None:
     step = context.cluster.jobs[name].steps[0, 0]
-    step.stalls, step.stalled_on = 1, (worker,)
+    step.stalls, step.stall_suspects = 1, (worker,)
+
+
+@given('the job "{name}" stood still {count:d} times until second {now:g}')
+def step_stood_still_often(context: Context, name: str, count: int, now: float) -> None:
+    step = context.cluster.jobs[name].steps[0, 0]
+    step.stalls, step.stalled_at = count, now
+
+
+@given('all tasks of "{name}" report {percent:d} percent at second {now:g}')
+def step_report_all(context: Context, name: str, percent: int, now: float) -> None:
+    tasks = list_tasks(context.cluster, name)
+    for worker in {task.worker for task in tasks}:
+        running = tuple(
+            RunningTask(task.id, task.run, "", percent)
+            for task in tasks
+            if task.worker == worker
+        )
+        report(context.cluster, worker, now, running)
 
 
 @then('{count:d} tasks of "{name}" are stopped because they "{why}" for {ms:d} ms')
@@ -69,7 +87,7 @@
 def step_has_stalls(context: Context, name: str, count: int, worker: str) -> None:
     step = context.cluster.jobs[name].steps[0, 0]
     assert step.stalls == count
-    assert step.stalled_on == (worker,)
+    assert step.stall_suspects == (worker,)
 
 
 def list_avoided(context: Context, now: float) -> list[str]:
--- a/tests/commands/batch/speeds_steps.py
+++ b/tests/commands/batch/speeds_steps.py
@@ -1,11 +1,11 @@
 """Steps of uneven workers; planning_steps.py sets up the cluster."""
 
-from math import log
+from math import exp, log
 
 from behave import given, then
 from behave.runner import Context
 
-from geraniumwell.model.batch.speed import RateSample
+from geraniumwell.model.batch.speed import RateSample, add_sample
 from tests.support.batch import list_tasks, make_job, make_step, submit
 
 # Milliseconds of one percent on an ordinary worker.
@@ -20,9 +20,8 @@
         for name in context.cluster.workers:
             is_slow = name == slow and number >= RUNS_PER_WORKER - count
             log_ms = log(PERCENT_MS * (factor if is_slow else 1.0))
-            sample = RateSample((f"job-{number}", 0, 0), name, log_ms, SAMPLED_AT)
-            context.cluster.speeds.samples.append(sample)
-    context.cluster.speeds.has_new_samples = True
+            sample = RateSample((f"job-{number}", 0, 0), log_ms, SAMPLED_AT)
+            add_sample(context.cluster.speeds, name, sample)
 
 
 @given('the worker "{name}" takes twice as long as the others')
@@ -65,6 +64,21 @@
     assert used == set(names.split()), used
 
 
+@then('the worker "{name}" is no headroom')
+def step_no_headroom(context: Context, name: str) -> None:
+    for pool in context.cluster.fleet.pools.values():
+        assert pool.headroom_workers
+        assert name not in pool.headroom_workers
+
+
+@then('only the run of "{name}" is measured, with {ms:g} ms for each percent')
+def step_measured(context: Context, name: str, ms: float) -> None:
+    worker = list_tasks(context.cluster, name)[0].worker
+    samples = context.cluster.speeds.samples
+    assert list(samples) == [worker], samples
+    assert abs(exp(samples[worker][0].log_ms) - ms) < 0.01, samples
+
+
 @then("no worker is slow")
 def step_none_slow(context: Context) -> None:
     for pool in context.cluster.fleet.pools.values():
--- a/tests/support/batch.py
+++ b/tests/support/batch.py
@@ -2,7 +2,12 @@
 
 from typing import Any
 
-from geraniumwell.codec.batch import decode_progress, encode_progress
+from geraniumwell.codec.batch import (
+    decode_progress,
+    decode_stalls,
+    encode_progress,
+    encode_stalls,
+)
 from geraniumwell.commands.batch.ends import apply_report
 from geraniumwell.commands.batch.lifecycle import add_job, mark_job_begun
 from geraniumwell.commands.batch.planning import plan
@@ -101,7 +106,9 @@
 def restore_stored_job(job: Job, racks: str, now: float) -> Cluster:
     """Return the cluster of a new scheduler that has restored a job from its row."""
     cluster = make_cluster(racks)
-    restore_job(cluster, decode_progress(encode_progress(job), job.spec), now)
+    restored = decode_progress(encode_progress(job), job.spec)
+    decode_stalls(encode_stalls(job), restored)
+    restore_job(cluster, restored, now)
     return cluster
 
 
