--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -16,15 +16,29 @@
 
 
 def add_workers(
-    cluster: Cluster, count: int, capacity: Resources, workers_per_rack: int
+    cluster: Cluster,
+    count: int,
+    capacity: Resources,
+    workers_per_rack: int,
+    data_centres: int = 1,
 ) -> list[str]:
     """Add idle workers that have answered a poll; return their names."""
     names: list[str] = []
     for number in range(count):
-        name, rack = f"w{number:04}", f"r{number // workers_per_rack}"
+        rack_number = number // workers_per_rack
+        name, rack = f"w{number:04}", f"r{rack_number}"
+        data_centre = f"dc{rack_number % data_centres}"
         labels = frozenset({"kind", rack})
         entry = WorkerEntry(
-            name, SERVICE, "127.0.0.1:1", "dc", capacity.copy(), labels, rack, False, 1
+            name,
+            SERVICE,
+            "127.0.0.1:1",
+            data_centre,
+            capacity.copy(),
+            labels,
+            rack,
+            False,
+            1,
         )
         apply_entry(cluster, entry, 0.0)
         report = WorkerReport(1000, (), (), 1)
--- a/bench/overload/__main__.py
+++ b/bench/overload/__main__.py
@@ -1,9 +1,9 @@
 """Print the share of the value that the scheduler earns under several loads.
 
-``python -m bench.overload [--seeds N] [--loads 0.8,1.0,1.3]`` runs traces of jobs on
-healthy workers. Each row shows a load: the share earned of the whole trace, of each
-queue, of the largest renders and of the two worst windows of two seconds, and the
-core-seconds of work that stops discarded.
+``python -m bench.overload [--fleet NAME] [--seeds N] [--loads 0.8,1.0,1.3]`` runs
+traces of jobs on healthy workers. Each row shows a load: the share earned of the whole
+trace, of each queue, of the largest renders and of the two worst windows of two
+seconds, and the core-seconds of work that stops discarded.
 """
 
 from argparse import ArgumentParser
@@ -12,12 +12,8 @@
 from functools import partial
 from statistics import mean
 
-from bench.overload.kinds import KINDS, Arrival, make_trace
-from bench.overload.simulation import (
-    ORGANISATION_COUNT,
-    OverloadSimulation,
-    make_simulation,
-)
+from bench.overload.kinds import FLEETS, Arrival, make_trace
+from bench.overload.simulation import OverloadSimulation, make_simulation
 from geraniumwell.commands.batch.units import EXPIRY_FACTOR
 
 WINDOW_SECONDS = 2.0
@@ -59,10 +55,11 @@
     )
 
 
-def measure(load: float, seed: int) -> RunResult:
+def measure(fleet_name: str, load: float, seed: int) -> RunResult:
     """Run one trace."""
-    trace = make_trace(seed, load, ORGANISATION_COUNT)
-    simulation = make_simulation(trace)
+    fleet = FLEETS[fleet_name]
+    trace = make_trace(seed, load, fleet)
+    simulation = make_simulation(trace, fleet)
     simulation.run(trace)
     windows: dict[int, list[Arrival]] = {}
     for arrival in trace:
@@ -75,7 +72,7 @@
             simulation,
             [arrival for arrival in trace if arrival.spec.queue == kind.queue],
         )
-        for kind in KINDS
+        for kind in fleet.kinds
     )
     renders = sorted(
         (arrival for arrival in trace if arrival.spec.queue == "renders"),
@@ -97,15 +94,17 @@
     parser.add_argument("--seeds", type=int, default=16)
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--loads", default="0.8,1.0,1.3")
+    parser.add_argument("--fleet", choices=FLEETS, default="small")
     parser.add_argument("--jobs", type=int, default=4)
     args = parser.parse_args()
-    names = " | ".join(kind.queue for kind in KINDS)
+    kinds = FLEETS[args.fleet].kinds
+    names = " | ".join(kind.queue for kind in kinds)
     print(f"| load | whole | {names} | largest renders | worst windows | wasted |")
-    print("| --- " * (6 + len(KINDS)) + "|")
+    print("| --- " * (6 + len(kinds)) + "|")
     seeds = range(args.first_seed, args.first_seed + args.seeds)
     with ProcessPoolExecutor(args.jobs) as pool:
         for load in map(float, args.loads.split(",")):
-            results = list(pool.map(partial(measure, load), seeds))
+            results = list(pool.map(partial(measure, args.fleet, load), seeds))
             cells = [mean(result.whole for result in results)]
             cells += [mean(q) for q in zip(*(r.queues for r in results), strict=True)]
             cells += [mean(r.large for r in results), mean(r.windows for r in results)]
--- a/bench/overload/kinds.py
+++ b/bench/overload/kinds.py
@@ -1,6 +1,6 @@
 """Kinds of jobs, and random traces of them with bursts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import exp, log, sqrt
 from random import Random
 
@@ -136,7 +136,97 @@
     stretch=3.0,
     target_seconds=3.0,
 )
-KINDS = (QUOTES, RENDERS, BATCHES)
+
+
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """A fleet of workers and the load that it gets.
+
+    Parameters
+    ----------
+    speeds : tuple of float
+        Speeds of the workers, by turns.
+    guaranteed_share : float
+        Guaranteed part of all accelerators, divided equally among the organisations.
+    """
+
+    kinds: tuple[JobKind, ...]
+    workers: int
+    workers_per_rack: int
+    capacity: Resources
+    data_centres: int = 1
+    speeds: tuple[float, ...] = (1.0,)
+    organisations: int = 4
+    guaranteed_share: float = 0.5
+
+
+SMALL = Fleet((QUOTES, RENDERS, BATCHES), 24, 8, Resources(32_000, 128_000, 8))
+# Callers that compete for too little capacity at times.
+COMPETING = Fleet(
+    (
+        replace(QUOTES, per_second=2.85, mean_tasks=5.4, max_tasks=32, memory_mb=7_600),
+        replace(
+            RENDERS, per_second=1.05, late_value=0.9, mean_tasks=13.0, max_tasks=78
+        ),
+        replace(
+            BATCHES,
+            per_second=0.66 * 1.3,
+            late_value=0.3,
+            mean_tasks=39.0,
+            max_tasks=230,
+            mean_task_seconds=9.5,
+        ),
+    ),
+    176,
+    8,
+    Resources(32_000, 65_536, 8),
+    data_centres=3,
+    speeds=(0.8, 1.0, 1.25),
+    organisations=10,
+    guaranteed_share=0.62,
+)
+# A quarter of the workers is much slower than the others.
+UNEVEN = Fleet(
+    (
+        replace(
+            QUOTES,
+            per_second=3.87,
+            mean_task_seconds=2.1,
+            mean_tasks=5.4,
+            max_tasks=32,
+            cpu_millis=15_000,
+            memory_mb=22_000,
+        ),
+        replace(
+            RENDERS,
+            per_second=0.91,
+            late_value=0.9,
+            mean_task_seconds=7.2,
+            mean_tasks=13.0,
+            max_tasks=78,
+            cpu_millis=52_000,
+            memory_mb=75_000,
+        ),
+        replace(
+            BATCHES,
+            per_second=1.12 * 1.3,
+            late_value=0.3,
+            mean_tasks=39.0,
+            max_tasks=230,
+            mean_task_seconds=5.2,
+            cpu_millis=11_000,
+            memory_mb=16_000,
+        ),
+    ),
+    176,
+    20,
+    Resources(128_000, 262_144, 8),
+    data_centres=4,
+    speeds=(0.55, 1.2, 1.2, 1.2),
+    organisations=10,
+    guaranteed_share=0.62,
+)
+FLEETS = {"small": SMALL, "competing": COMPETING, "uneven": UNEVEN}
 
 
 def draw_lognormal(random: Random, mean: float, spread: float) -> float:
@@ -145,7 +235,7 @@
     return mean * exp(random.gauss(0.0, sigma) - sigma * sigma / 2)
 
 
-def make_trace(seed: int, load: float, organisations: int) -> list[Arrival]:
+def make_trace(seed: int, load: float, fleet: Fleet) -> list[Arrival]:
     """Return the jobs of one run in the order of their arrival.
 
     Parameters
@@ -155,7 +245,7 @@
     """
     random = Random(seed)
     arrivals: list[Arrival] = []
-    for kind in KINDS:
+    for kind in fleet.kinds:
         burst = random.uniform(0.0, TRAFFIC_SECONDS - BURST_SECONDS)
         at = 0.0
         while True:
@@ -165,7 +255,7 @@
             if at >= TRAFFIC_SECONDS:
                 break
             arrivals.append(
-                make_arrival(random, kind, at, len(arrivals), organisations)
+                make_arrival(random, kind, at, len(arrivals), fleet.organisations)
             )
     return sorted(arrivals, key=lambda arrival: arrival.at)
 
--- a/bench/overload/simulation.py
+++ b/bench/overload/simulation.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from bench.fleet import SERVICE, WALL_OFFSET_SECONDS, add_workers, apply_started_run
-from bench.overload.kinds import KINDS, MAX_ATTEMPTS, Arrival
+from bench.overload.kinds import MAX_ATTEMPTS, Arrival, Fleet
 from geraniumwell.commands.batch.answers import is_start_wanted
 from geraniumwell.commands.batch.ends import apply_report
 from geraniumwell.commands.batch.lifecycle import add_job
@@ -13,7 +13,6 @@
 from geraniumwell.model.batch.catalog import Organisation, Queue, make_catalog
 from geraniumwell.model.batch.cluster import BatchPolicy, Cluster, Order, StartTask
 from geraniumwell.model.batch.job import ENDED_STATES, JobState, TaskId
-from geraniumwell.model.batch.resources import Resources
 from geraniumwell.model.batch.worker import (
     EndedTask,
     EndKind,
@@ -22,15 +21,11 @@
 )
 
 STEP_SECONDS = 0.05
+# Interval of the reports of a worker on which no run ends.
+REPORT_SECONDS = 1.0
 MAX_RUN_SECONDS = 300.0
 STOP_DURATION_SECONDS = 0.3
 RESTORE_SECONDS = 0.4
-WORKER_COUNT = 24
-WORKERS_PER_RACK = 8
-ORGANISATION_COUNT = 4
-# Guaranteed part of all accelerators, divided equally among the organisations.
-GUARANTEED_SHARE = 0.5
-CAPACITY = Resources(32_000, 128_000, 8)
 
 
 @dataclass(slots=True)
@@ -67,9 +62,11 @@
 
     cluster: Cluster
     arrivals: dict[str, Arrival]
+    fleet: Fleet
     runs: dict[str, dict[TaskId, Run]]
     now: float = 0.0
     last_end_numbers: dict[str, int] = field(default_factory=dict)
+    reported_at: dict[str, float] = field(default_factory=dict)
     saved_seconds: dict[TaskId, float] = field(default_factory=dict)
     wasted_core_seconds: float = 0.0
 
@@ -129,6 +126,8 @@
         )
         resume_at = self.now + (RESTORE_SECONDS if saved_seconds else 0.0)
         remaining_seconds = arrival.task_seconds - saved_seconds
+        speeds = self.fleet.speeds
+        speed *= speeds[int(order.worker[1:]) % len(speeds)]
         run = Run(order.id, order.run, remaining_seconds, speed, resume_at)
         self.runs[order.worker][order.id] = run
 
@@ -139,7 +138,7 @@
             if self.now > run.resume_at:
                 run.remaining_seconds -= STEP_SECONDS * run.speed
             kind = None
-            if run.remaining_seconds <= 0:
+            if run.remaining_seconds <= 0 and self._is_gang_finished(run):
                 kind = EndKind.DONE
             elif self.now >= run.stops_at:
                 kind = EndKind.STOPPED
@@ -155,6 +154,9 @@
                     self.last_end_numbers[name], run.id, run.number, kind, checkpoint
                 )
             )
+        if not ended and self.now < self.reported_at.get(name, 0.0) + REPORT_SECONDS:
+            return
+        self.reported_at[name] = self.now
         running = tuple(
             RunningTask(run.id, run.number, "", self._find_percent(run))
             for run in runs.values()
@@ -167,9 +169,21 @@
             apply_report(self.cluster, worker, report, self.now, self.now, wall_now)
         )
 
+    def _is_gang_finished(self, run: Run) -> bool:
+        """Return whether all members of a gang are finished; they end together."""
+        job = self.cluster.jobs[run.id.job]
+        if not job.spec.steps[0].is_gang:
+            return True
+        return all(
+            member is None or member.remaining_seconds <= 0
+            for task in job.steps[0, 0].tasks
+            if task.worker
+            for member in (self.runs[task.worker].get(task.id),)
+        )
+
     def _find_percent(self, run: Run) -> int:
         task_seconds = self.arrivals[run.id.job].task_seconds
-        return max(0, min(99, int(100 * (1.0 - run.remaining_seconds / task_seconds))))
+        return max(0, min(100, int(100 * (1.0 - run.remaining_seconds / task_seconds))))
 
     def _record_stop(self, run: Run) -> None:
         """Save a checkpoint if the task writes them; count the work that is lost."""
@@ -182,7 +196,7 @@
         self.wasted_core_seconds += max(0.0, done - saved_seconds) * count_cores(step)
 
 
-def make_simulation(trace: list[Arrival]) -> OverloadSimulation:
+def make_simulation(trace: list[Arrival], fleet: Fleet) -> OverloadSimulation:
     """Return a simulation with idle workers that have answered a poll."""
     queues = tuple(
         Queue(
@@ -195,19 +209,26 @@
             kind.target_seconds,
             kind.stretch,
         )
-        for kind in KINDS
+        for kind in fleet.kinds
     )
-    total = WORKER_COUNT * CAPACITY.accelerators
-    guaranteed = int(total * GUARANTEED_SHARE / ORGANISATION_COUNT)
+    total = fleet.workers * fleet.capacity.accelerators
+    guaranteed = int(total * fleet.guaranteed_share / fleet.organisations)
     organisations = tuple(
         Organisation(f"org-{number}", frozenset(), guaranteed)
-        for number in range(ORGANISATION_COUNT)
+        for number in range(fleet.organisations)
     )
     catalog = make_catalog(1, queues, organisations, 1_000_000)
     cluster = Cluster(1, BatchPolicy(), catalog)
     arrivals = {arrival.spec.id: arrival for arrival in trace}
-    simulation = OverloadSimulation(cluster, arrivals, {})
-    for name in add_workers(cluster, WORKER_COUNT, CAPACITY, WORKERS_PER_RACK):
+    simulation = OverloadSimulation(cluster, arrivals, fleet, {})
+    names = add_workers(
+        cluster,
+        fleet.workers,
+        fleet.capacity,
+        fleet.workers_per_rack,
+        fleet.data_centres,
+    )
+    for name in names:
         simulation.runs[name] = {}
         simulation.last_end_numbers[name] = 0
     return simulation
