Add the command check-config

Cause: an operator learned only from the daemons' logs that a configuration of the platform was rejected, or from refused calls that a queue could never match.

Change: check-config decodes a file with the daemons' decode_catalog, lists all unreadable values, checks what the catalog merges or leaves out, and compares two files.

Before: no command read such a file.

--- a/geraniumwell/actors/batch/catalog_manager.py
+++ b/geraniumwell/actors/batch/catalog_manager.py
@@ -21,7 +21,7 @@
     TableSnapshot,
     TableUnavailable,
 )
-from geraniumwell.model.batch.catalog import Catalog
+from geraniumwell.model.batch.catalog import Catalog, is_newer
 from geraniumwell.util.clock import boottime_seconds
 
 # A daemon without a store response for this long reports itself as not ready.
@@ -128,7 +128,7 @@
         except CodecError as exc:
             EVENT_LOG.write("configuration_unreadable", detail=str(exc))
             return
-        if self._catalog is not None and catalog.version <= self._catalog.version:
+        if not is_newer(catalog, self._catalog):
             return
         self._catalog = catalog
         EVENT_LOG.write("configuration", version=catalog.version)
--- a/geraniumwell/cli/main.py
+++ b/geraniumwell/cli/main.py
@@ -8,6 +8,7 @@
 
 from defopt import run
 
+from geraniumwell.cli.check_config import check_config
 from geraniumwell.cli.operate import ask, do
 from geraniumwell.cli.trace import trace
 from geraniumwell.codec.settings import load_settings
@@ -52,6 +53,8 @@
   7    no response, so a command may or may not take effect
   8    unknown token
   70   the daemon stopped because of an internal error
+
+check-config has its own; see check-config --help.
 """
 
 
@@ -118,7 +121,7 @@
     """Run the command that the arguments name."""
     try:
         run(
-            [serve, serve_platform, check, ask, do, trace],
+            [serve, serve_platform, check, check_config, ask, do, trace],
             cli_options="has_default",
             argparse_kwargs={
                 "prog": "geraniumwell",
--- a/geraniumwell/model/batch/catalog.py
+++ b/geraniumwell/model/batch/catalog.py
@@ -69,3 +69,8 @@
         {key: org.name for org in organisations for key in org.keys},
         {queue.name: queue for queue in queues},
     )
+
+
+def is_newer(catalog: Catalog, current: Catalog | None) -> bool:
+    """Return whether a catalog replaces the current one; an equal version does not."""
+    return current is None or catalog.version > current.version
--- a/geraniumwell/platform/decode.py
+++ b/geraniumwell/platform/decode.py
@@ -28,6 +28,7 @@
     WireRuns,
     WireServer,
     WireStep,
+    WireTenant,
     decode_wire,
 )
 
@@ -47,10 +48,7 @@
     return make_catalog(
         wire.version,
         tuple(_make_queue(route) for route in wire.routes),
-        tuple(
-            Organisation(t.name, frozenset(t.api_keys), t.guaranteed.gpu)
-            for t in wire.tenants
-        ),
+        tuple(make_organisation(tenant) for tenant in wire.tenants),
         wire.limits.max_body_bytes,
     )
 
@@ -61,6 +59,11 @@
     return data_centre if key != data_centre and data_centre else None
 
 
+def make_organisation(tenant: WireTenant) -> Organisation:
+    """Return an organisation of the configuration."""
+    return Organisation(tenant.name, frozenset(tenant.api_keys), tenant.guaranteed.gpu)
+
+
 def _make_queue(route: WireRoute) -> Queue:
     return Queue(
         route.name,
--- a/geraniumwell/platform/wire.py
+++ b/geraniumwell/platform/wire.py
@@ -60,6 +60,28 @@
     tenants: tuple[WireTenant, ...] = ()
 
 
+class WireProposedRoute(WireRoute, rename="pascal"):
+    """A queue with the values that only a check of the configuration reads."""
+
+    timeout_ms: Number = 0
+
+
+class WireService(Struct, rename="pascal"):
+    """A service."""
+
+    name: str
+
+
+class WireProposedConfig(WireConfig, rename="pascal"):
+    """A configuration with the values that only a check of it reads.
+
+    The daemons don't decode them, so an error in them prevents no activation.
+    """
+
+    routes: tuple[WireProposedRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+
+
 class WireStep(Struct, rename="pascal"):
     """A step of a job."""
 
