--- a/geraniumwell/queries/config_wording.py
+++ b/geraniumwell/queries/config_wording.py
@@ -85,7 +85,7 @@
     match finding:
         case MissingService(_, queue, service, similar):
             hint = f"; did you mean {similar!r}?" if similar else ""
-            return f"queue {queue!r} uses service {service!r}, which is missing{hint}"
+            return f"service {service!r} of queue {queue!r} is not configured{hint}"
         case UnmatchableQueue(_, queue, host, prefix):
             return (
                 f"no call can match queue {queue!r}: expected a host without a port "
