Keep the capacity of a gang that had to stop until it starts again

The ends of its members arrive one by one, and independent tasks took each freed worker at once.

Not after a preemption or a stall.

Before: the scenario 'Other work does not take the workers of a gang whose member failed' fails with no time to keep capacity.

--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -19,6 +19,14 @@
 # may have more. More would not fit into one row of progress, and thousands of
 # occurrences that are due at the same time would exhaust the memory of the daemon.
 OPEN_TASK_LIMIT = 2_000
+# Reasons for which a gang gives up its capacity: others need it more, the gang made no
+# progress there, or its job has ended.
+GIVEN_UP = (
+    StopReason.PREEMPTED,
+    StopReason.STALLED,
+    StopReason.JOB_CANCELLED,
+    StopReason.JOB_FAILED,
+)
 
 
 def add_job(cluster: Cluster, spec: JobSpec, wall_now: float) -> None:
@@ -196,6 +204,7 @@
 ) -> list[Order]:
     """Begin to stop a task; a start order that was not sent is cancelled at once."""
     if task.phase is Phase.STARTING and not task.is_start_sent:
+        task.stop_reason = reason
         release_task(cluster, task)
         return []
     if task.phase not in (Phase.STARTING, Phase.RUNNING):
@@ -208,9 +217,19 @@
     return [StopTask(task.worker, task.id, task.run, reason, stalled_ms)]
 
 
+def record_former_worker(step: StepRun, task: Task) -> None:
+    """Remember the worker of a gang member that has stopped and will start again."""
+    if step.spec.is_gang and task.worker and task.stop_reason not in GIVEN_UP:
+        step.former_workers = (*step.former_workers, task.worker)
+
+
 def release_task(cluster: Cluster, task: Task) -> None:
     """Remove a task that no longer runs from its worker, and let it wait again."""
     worker = cluster.workers.get(task.worker)
+    job = cluster.jobs.get(task.id.job)
+    step = find_step(job, task.id) if job and job.state not in ENDED_STATES else None
+    if step is not None:
+        record_former_worker(step, task)
     if worker is not None:
         worker.tasks.pop(task.id, None)
         cluster.mark_worker_changed(task.worker)
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -31,6 +31,7 @@
 )
 from geraniumwell.commands.batch.priorities import URGENT_PRIORITY
 from geraniumwell.commands.batch.progress import is_paused, stop_stalled
+from geraniumwell.commands.batch.resumption import is_resuming, keep_former_workers
 from geraniumwell.commands.batch.speeds import can_afford_slow_worker
 from geraniumwell.commands.batch.units import open_occurrences, refresh_queue
 from geraniumwell.model.batch.capacity import Pool, WorkerCapacity
@@ -144,6 +145,10 @@
         pool = cluster.fleet.pools.get(unit.service)
         if pool is None:
             continue
+        if not unit.is_complete:
+            if is_resuming(unit, now):
+                keep_former_workers(cluster, pool, unit)
+            continue
         may_preempt = is_guaranteed(cluster, unit, use)
         if is_paused(pool, unit, may_preempt, now):
             continue
@@ -155,6 +160,8 @@
                 use[unit.organisation] = use.get(unit.organisation, 0) + taken
         elif may_preempt and unit.shape not in cache.unpreemptible:
             orders += preempt(cluster, pool, unit, cache, now)
+        elif is_resuming(unit, now):
+            keep_former_workers(cluster, pool, unit)
     return orders
 
 
@@ -167,7 +174,8 @@
     wall_now: float,
 ) -> Placement:
     """Return a placement of a unit on free capacity; cache shapes that do not fit."""
-    can_use_headroom = may_use_headroom(pool, unit, now)
+    # A gang that had to stop needs only the capacity of one member more.
+    can_use_headroom = may_use_headroom(pool, unit, now) or is_resuming(unit, now)
     if (unit.shape, can_use_headroom) in cache.unfit:
         return []
     is_waiting_for_rack = False
@@ -281,7 +289,8 @@
                 StartTask(task.worker, task.id, task.run, job.spec.payload, saved)
             )
         allocate(cluster, capacity, unit, count)
-    step.broken_at = 0.0
+    step.broken_at = step.resumed_since = 0.0
+    step.former_workers = ()
     mark_job_unsaved(cluster, job.spec.id)
     return orders
 
--- a/geraniumwell/commands/batch/units.py
+++ b/geraniumwell/commands/batch/units.py
@@ -94,10 +94,13 @@
     if not waiting or not is_step_ready(job, step):
         return None
     # A gang starts only as a whole, and members of its earlier run may still be placed.
-    if step.spec.is_gang and any(
+    is_complete = not step.spec.is_gang or not any(
         task.phase is not Phase.WAITING or task.worker for task in step.tasks
-    ):
+    )
+    if not is_complete and not step.former_workers:
         return None
+    if step.former_workers and not step.resumed_since:
+        step.resumed_since = now
     if not step.waiting_since:
         step.waiting_since = now
     objective, expires_at = find_objective(job, step.occurrence)
@@ -106,7 +109,8 @@
     service = queue.service if queue else job.spec.service
     priority = find_priority(cluster, job)
     key: StepKey = (job.spec.id, step.occurrence, step.step)
-    ids = tuple(task.id for task in waiting)
+    tasks = step.tasks if step.spec.is_gang else waiting
+    ids = tuple(task.id for task in tasks)
     return Unit(
         key,
         step.spec,
@@ -119,6 +123,9 @@
         expires_at,
         (priority, has_expired, objective, job.sequence, *key[1:]),
         make_placement_shape(step.spec, service, priority, len(ids)),
+        is_complete,
+        step.former_workers,
+        step.resumed_since,
         step.stalled_at,
         find_pause_seconds(step),
     )
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -210,6 +210,11 @@
         Workers that took part in each of these stalls, and may be at fault.
     stalled_at : float
         Time of the last stall; 0 before the first one, and after a takeover.
+    former_workers : tuple of str
+        Workers of the members of a gang that has to stop and will start again; one
+        entry for each member that has ended.
+    resumed_since : float
+        Time from which the gang waits to start again; 0 if it does not.
     preempt_after : float
         Time from which a preemption for the step is looked for again.
     awaited_workers : tuple
@@ -228,6 +233,8 @@
     stalls: int = 0
     stall_suspects: tuple[str, ...] = ()
     stalled_at: float = 0.0
+    former_workers: tuple[str, ...] = ()
+    resumed_since: float = 0.0
     preempt_after: float = 0.0
     awaited_workers: tuple[tuple[str, int], ...] = ()
 
--- a/geraniumwell/model/batch/unit.py
+++ b/geraniumwell/model/batch/unit.py
@@ -51,6 +51,12 @@
         Units with a lower key are more urgent.
     shape : PlacementShape or None
         None if the fit also depends on where other tasks of the step run.
+    is_complete : bool
+        Whether all tasks wait; False for a gang whose earlier run has not ended on all
+        workers. Such a unit only keeps its capacity.
+    former_workers, resumed_since : tuple of str, float
+        Workers of the earlier run of a gang, and the time from which it waits to start
+        again.
     paused_since, pause_seconds : float
         Time from which a step that stood still repeatedly waits, and how long; 0 if it
         does not.
@@ -67,6 +73,9 @@
     expires_at: float
     sort_key: tuple[float, ...]
     shape: PlacementShape | None
+    is_complete: bool = True
+    former_workers: tuple[str, ...] = ()
+    resumed_since: float = 0.0
     paused_since: float = 0.0
     pause_seconds: float = 0.0
 
