--- a/tests/commands/batch/resumption.feature
+++ b/tests/commands/batch/resumption.feature
@@ -29,9 +29,9 @@
     Given workers in the racks "r1 r1 r1 r1 r1 r1 r1"
     And a gang job "g" of 6 tasks with 8 accelerators
     And the scheduler planned at second 1
-    And the worker of task 5 of "g" drains from second 2
-    When all tasks of "g" end as "stopped" at second 2.5
-    And the scheduler plans at second 2.6
+    And the worker of task 5 of "g" drains from second 1.2
+    When all tasks of "g" end as "stopped" at second 1.4
+    And the scheduler plans at second 1.6
     Then the job "g" has 6 started tasks with run 2
 
   # Guards against a preempted gang that blocks the work that it was stopped for.
