--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -16,6 +16,7 @@
 )
 from geraniumwell.actors.batch.end_reporter import EndReporter
 from geraniumwell.actors.batch.feeds import start_feeds
+from geraniumwell.actors.batch.fleet_reporter import FleetReporter
 from geraniumwell.actors.batch.job_sweeper import JobSweeper
 from geraniumwell.actors.batch.messaging import tell
 from geraniumwell.actors.batch.poll_results import apply_poll_result
@@ -56,7 +57,6 @@
     PLAN_SECONDS,
     STOPS,
     WAITING_JOBS,
-    set_fleet_gauges,
 )
 from geraniumwell.helpers.event_log import EVENT_LOG
 from geraniumwell.messages.batch import (
@@ -128,6 +128,7 @@
         self._renewal_timer = DueTimer()
         self._feeds: list[ActorRef] = []
         self._end_reporter = EndReporter()
+        self._fleet_reporter = FleetReporter()
         pool = deps.start_connection_pool(claim.row.epoch, self.actor_ref)
         self._caller = WorkerCaller(pool)
 
@@ -385,7 +386,7 @@
         if expired := remove_expired_jobs(self._cluster, wall_now):
             self._end_reporter.forget(expired)
             tell(self._sweeper, RemoveJobRows(tuple(expired)))
-        set_fleet_gauges(self._cluster)
+        self._fleet_reporter.report(self._cluster, boottime_seconds())
 
     def _run_due_actions(self) -> None:
         """Renew the claim and poll workers if that has become due."""
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -5,8 +5,6 @@
 
 from prometheus_client import Counter, Gauge, Histogram
 
-from geraniumwell.model.batch.cluster import Cluster
-
 CALLS = Counter(
     "geraniumwell_batch_calls",
     "Calls of callers by operation and outcome.",
@@ -36,6 +34,10 @@
     "geraniumwell_batch_slow_workers",
     "Workers that are much slower than most others of their service.",
 )
+AVOIDED_WORKERS = Gauge(
+    "geraniumwell_batch_avoided_workers",
+    "Workers that get no new tasks after failures, refusals or stalls.",
+)
 RUN_ENDS = Counter("geraniumwell_batch_ends", "Ends of runs by kind.", ("kind",))
 PLAN_SECONDS = Histogram(
     "geraniumwell_batch_plan_seconds",
@@ -82,10 +84,3 @@
 WORKER_CONNECTIONS = Gauge(
     "geraniumwell_batch_worker_connections", "Open connections to workers."
 )
-
-
-def set_fleet_gauges(cluster: Cluster) -> None:
-    """Set the gauges of placed tasks and slow workers."""
-    PLACED_TASKS.set(sum(len(worker.tasks) for worker in cluster.workers.values()))
-    pools = cluster.fleet.pools.values()
-    SLOW_WORKERS.set(sum(len(pool.slow_workers) for pool in pools))
