--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -6,6 +6,7 @@
 
 from geraniumwell.actors.batch.commit_state import (
     CommitState,
+    add_removals,
     affects_claim,
     begin_transaction,
     confirm_transaction,
@@ -15,6 +16,7 @@
 )
 from geraniumwell.actors.batch.end_reporter import EndReporter
 from geraniumwell.actors.batch.feeds import start_feeds
+from geraniumwell.actors.batch.fleet_reporter import FleetReporter
 from geraniumwell.actors.batch.interference_log import log_interference
 from geraniumwell.actors.batch.job_sweeper import JobSweeper
 from geraniumwell.actors.batch.messaging import tell
@@ -57,7 +59,6 @@
     ORDERS,
     PLAN_SECONDS,
     WAITING_JOBS,
-    set_fleet_gauges,
 )
 from geraniumwell.helpers.event_log import EVENT_LOG
 from geraniumwell.messages.batch import (
@@ -131,6 +132,7 @@
         self._renewal_timer = DueTimer()
         self._feeds: list[ActorRef] = []
         self._end_reporter = EndReporter()
+        self._fleet_reporter = FleetReporter()
         pool = deps.start_connection_pool(claim.row.epoch, self.actor_ref)
         self._caller = WorkerCaller(pool)
 
@@ -189,7 +191,7 @@
             case Tick("resend"):
                 self._resend()
             case JobRowsRemoved(ids):
-                self._commits.removals += ids
+                add_removals(self._commits, self._cluster, ids)
             case ActorFailed(name):
                 self._end(f"the actor {name} has failed")
         self._run_due_actions()
@@ -378,7 +380,7 @@
         if expired := remove_expired_jobs(self._cluster, wall_now):
             self._end_reporter.forget(expired)
             tell(self._sweeper, RemoveJobRows(tuple(expired)))
-        set_fleet_gauges(self._cluster)
+        self._fleet_reporter.report(self._cluster, boottime_seconds())
         log_interference(self._cluster.interference)
 
     def _run_due_actions(self) -> None:
--- a/geraniumwell/cli/main.py
+++ b/geraniumwell/cli/main.py
@@ -52,6 +52,8 @@
   7    no response, so a command may or may not take effect
   8    unknown token
   70   the daemon stopped because of an internal error
+
+check-config has its own; see check-config --help.
 """
 
 
@@ -114,11 +116,42 @@
     print(f"{settings}: valid")
 
 
+def check_config(
+    file: Path,
+    *,
+    against: Path | None = None,
+    accelerators: int | None = None,
+    json: bool = False,
+) -> None:
+    """Check a configuration of serve-platform before it is sent.
+
+    Exit status: 0 without findings, 1 with errors, 2 if a file can't be read, 3 with
+    warnings only. Differences are not findings.
+
+    Parameters
+    ----------
+    file : Path
+        JSON file with the configuration.
+    against : Path or None
+        JSON file with the configuration in force, to list the differences from it. It
+        must be a file: the command has no access to the store, which alone knows the
+        version in force.
+    accelerators : int or None
+        Accelerators of the fleet, to compare the guarantees with them.
+    json
+        Print JSON.
+    """
+    # Imported here, because the start of a daemon should not wait for these modules.
+    from geraniumwell.cli.check_config import run_check
+
+    sys.exit(run_check(file, against, accelerators, json))
+
+
 def main() -> None:
     """Run the command that the arguments name."""
     try:
         run(
-            [serve, serve_platform, check, ask, do, trace],
+            [serve, serve_platform, check, check_config, ask, do, trace],
             cli_options="has_default",
             argparse_kwargs={
                 "prog": "geraniumwell",
--- a/geraniumwell/commands/batch/references.py
+++ b/geraniumwell/commands/batch/references.py
@@ -36,9 +36,10 @@
         self._speeds = index.speeds
         self._by_step: dict[StepKey, list[RateSample]] = defaultdict(list)
         self._by_worker: dict[str, list[RateSample]] = defaultdict(list)
-        for sample in index.samples:
-            self._by_step[sample.step].append(sample)
-            self._by_worker[sample.worker].append(sample)
+        for worker, samples in index.samples.items():
+            self._by_worker[worker] = list(samples)
+            for sample in samples:
+                self._by_step[sample.step].append(sample)
         self._work: dict[tuple[StepKey, str], float | None] = {}
         self._worker_speeds: dict[tuple[str, str], float | None] = {}
 
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -5,8 +5,6 @@
 
 from prometheus_client import Counter, Gauge, Histogram
 
-from geraniumwell.model.batch.cluster import Cluster
-
 CALLS = Counter(
     "geraniumwell_batch_calls",
     "Calls of callers by operation and outcome.",
@@ -28,7 +26,9 @@
     "Looks that extended no lease, because the claim ran out before they were sent.",
 )
 STOPS = Counter(
-    "geraniumwell_batch_stops", "Stop orders to workers by reason.", ("reason",)
+    "geraniumwell_batch_stops",
+    "Stop orders to workers, repeated ones included, by reason.",
+    ("reason",),
 )
 SLOW_WORKERS = Gauge(
     "geraniumwell_batch_slow_workers",
@@ -41,6 +41,10 @@
 PACES = Counter(
     "geraniumwell_batch_paces", "Pace orders to workers by direction.", ("direction",)
 )
+AVOIDED_WORKERS = Gauge(
+    "geraniumwell_batch_avoided_workers",
+    "Workers that get no new tasks after failures, refusals or stalls.",
+)
 RUN_ENDS = Counter("geraniumwell_batch_ends", "Ends of runs by kind.", ("kind",))
 PLAN_SECONDS = Histogram(
     "geraniumwell_batch_plan_seconds",
@@ -87,10 +91,3 @@
 WORKER_CONNECTIONS = Gauge(
     "geraniumwell_batch_worker_connections", "Open connections to workers."
 )
-
-
-def set_fleet_gauges(cluster: Cluster) -> None:
-    """Set the gauges of placed tasks and slow workers."""
-    PLACED_TASKS.set(sum(len(worker.tasks) for worker in cluster.workers.values()))
-    pools = cluster.fleet.pools.values()
-    SLOW_WORKERS.set(sum(len(pool.slow_workers) for pool in pools))
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -134,6 +134,7 @@
     START_FAILED = "unanswered_start"
     WORKER_LEAVING = "evacuated"
     DISTURBING = "disturbing"
+    RESTORED = "restored"
 
 
 ENDED_STATES = (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
@@ -223,10 +224,15 @@
         that.
     stalls : int
         Number of times that the step was stopped because it stood still.
-    stalled_on : tuple of str
-        Workers on which tasks of the step last stood still, the latest last.
+    stall_suspects : tuple of str
+        Workers that took part in each of these stalls, and may be at fault.
     stalled_at : float
         Time of the last stall; 0 before the first one, and after a takeover.
+    former_workers : tuple of str
+        Workers of the members of a gang that has to stop and will start again; one
+        entry for each member that has ended.
+    resumed_since : float
+        Time from which the gang waits to start again; 0 if it does not.
     """
 
     spec: StepSpec
@@ -238,8 +244,10 @@
     waiting_since: float = 0.0
     broken_at: float = 0.0
     stalls: int = 0
-    stalled_on: tuple[str, ...] = ()
+    stall_suspects: tuple[str, ...] = ()
     stalled_at: float = 0.0
+    former_workers: tuple[str, ...] = ()
+    resumed_since: float = 0.0
 
     def is_done(self) -> bool:
         """Return whether all tasks have ended as done."""
--- a/geraniumwell/model/batch/speed.py
+++ b/geraniumwell/model/batch/speed.py
@@ -3,8 +3,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-# Number of samples that are kept. It covers some runs on each of some hundred workers.
-SAMPLE_LIMIT = 2_000
+# Number of samples that are kept of each worker. Interference needs runs beside other
+# neighbours for comparison.
+SAMPLES_PER_WORKER = 24
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,21 +40,31 @@
 
     Parameters
     ----------
+    samples : dict
+        Latest samples of each worker, by worker name, the oldest first.
     speeds : dict
         Natural logarithm of the speed of each worker with samples, by worker name. Only
         differences between workers have a meaning.
-    counts : dict
-        Number of samples of each of these workers.
     has_new_samples : bool
         Whether samples were added since the speeds were last derived.
     derived_at : float
         Time at which the speeds were last derived.
     """
 
-    samples: deque[RateSample] = field(
-        default_factory=lambda: deque(maxlen=SAMPLE_LIMIT)
-    )
+    samples: dict[str, deque[RateSample]] = field(default_factory=dict)
     speeds: dict[str, float] = field(default_factory=dict)
-    counts: dict[str, int] = field(default_factory=dict)
     has_new_samples: bool = False
     derived_at: float = 0.0
+
+
+def add_sample(index: SpeedIndex, sample: RateSample) -> None:
+    """Add the rate of a run; the oldest sample of its worker may be dropped."""
+    samples = index.samples.setdefault(sample.worker, deque(maxlen=SAMPLES_PER_WORKER))
+    samples.append(sample)
+    index.has_new_samples = True
+
+
+def forget_worker(index: SpeedIndex, worker: str) -> None:
+    """Drop what is known of a worker that left, or whose name another one may have."""
+    index.samples.pop(worker, None)
+    index.speeds.pop(worker, None)
--- a/tests/commands/batch/interference_steps.py
+++ b/tests/commands/batch/interference_steps.py
@@ -17,6 +17,7 @@
 from geraniumwell.model.batch.cluster import Cluster, StartTask
 from geraniumwell.model.batch.interference import TailSample
 from geraniumwell.model.batch.speed import RateSample
+from geraniumwell.model.batch.speed import add_sample as add_rate_sample
 from geraniumwell.model.batch.worker import RunningTask
 from geraniumwell.queries.batch.interference import show_interference
 from tests.support.batch import (
@@ -64,7 +65,7 @@
                 key = (f"{kind}{now // ROUND_SECONDS}", 0, 0)
                 sample = RateSample(key, name, log_ms, now, kind, others)
                 if rng.random() < 1 / ROUND_SECONDS:
-                    index.samples.append(sample)
+                    add_rate_sample(index, sample)
                     context.cluster.interference.new_rates.append(sample)
         drop_old_samples(index, now)
         derive_speeds(index)
@@ -148,7 +149,7 @@
 @then('the rate of "x" was measured beside ""')
 def step_measured(context: Context, names: str = "") -> None:
     samples = context.cluster.speeds.samples
-    (sample,) = [sample for sample in samples if sample.step[0] == "x"]
+    (sample,) = [sample for sample in samples["w1"] if sample.step[0] == "x"]
     assert (sample.kind, set(sample.neighbours)) == ("a", set(names.split())), sample
 
 
--- a/tests/commands/batch/progress_steps.py
+++ b/tests/commands/batch/progress_steps.py
@@ -40,7 +40,25 @@
 @given('the job "{name}" stood still once on the worker "{worker}"')
 def step_stood_still(context: Context, name: str, worker: str) -> None:
     step = context.cluster.jobs[name].steps[0, 0]
-    step.stalls, step.stalled_on = 1, (worker,)
+    step.stalls, step.stall_suspects = 1, (worker,)
+
+
+@given('the job "{name}" stood still {count:d} times until second {now:g}')
+def step_stood_still_often(context: Context, name: str, count: int, now: float) -> None:
+    step = context.cluster.jobs[name].steps[0, 0]
+    step.stalls, step.stalled_at = count, now
+
+
+@given('all tasks of "{name}" report {percent:d} percent at second {now:g}')
+def step_report_all(context: Context, name: str, percent: int, now: float) -> None:
+    tasks = list_tasks(context.cluster, name)
+    for worker in {task.worker for task in tasks}:
+        running = tuple(
+            RunningTask(task.id, task.run, "", percent)
+            for task in tasks
+            if task.worker == worker
+        )
+        report(context.cluster, worker, now, running)
 
 
 @then('{count:d} tasks of "{name}" are stopped because they "{why}" for {ms:d} ms')
@@ -60,6 +78,11 @@
     assert list_avoided(context, now) == [worker], list_avoided(context, now)
 
 
+@then('the workers "{names}" are avoided at second {now:g}')
+def step_are_avoided(context: Context, names: str, now: float) -> None:
+    assert list_avoided(context, now) == names.split(), list_avoided(context, now)
+
+
 @then("no worker is avoided at second {now:g}")
 def step_none_avoided(context: Context, now: float) -> None:
     assert not list_avoided(context, now), list_avoided(context, now)
@@ -69,7 +92,7 @@
 def step_has_stalls(context: Context, name: str, count: int, worker: str) -> None:
     step = context.cluster.jobs[name].steps[0, 0]
     assert step.stalls == count
-    assert step.stalled_on == (worker,)
+    assert step.stall_suspects == (worker,)
 
 
 def list_avoided(context: Context, now: float) -> list[str]:
