Raise fillers without serving tasks, and limit each halt of a filler

Cause: pace was decided only on workers with fillers and serving tasks. A filler that had been lowered stayed so once the serving task had left, and after a takeover nothing was ordered there although the pace was unknown. The time at pace 0 counted only while a tail was near its target, so a filler stood still forever while the tail was between calm and near, or unknown.

Change: on a worker without serving tasks, each running filler whose pace is not 100, or not confirmed, is ordered to work at 100. The time at pace 0 begins when 0 is decided, ends with an increase and always counts. A takeover makes only the pace of fillers unknown, because other tasks have none. An unknown pace that becomes 100 counts as a repeat and is not logged.

Tests: the takeover goes through the stored row. The scenario of a filler that stands still expects its stop after 26 instead of 27 s, because pace 0 is ordered after 6 s and the halt was counted from the next report.

Conclusion: a low pace ends with its reason.

--- a/geraniumwell/commands/batch/pacing.py
+++ b/geraniumwell/commands/batch/pacing.py
@@ -5,12 +5,12 @@
 serving tasks and the effect of the fillers change within seconds.
 
 The pace is lowered by halves and raised in small steps. Each decrease doubles the calm
-time before the next increase, so the pace does not swing.
+time before the next increase, so the pace does not swing. On a worker that no longer
+has serving tasks, fillers work at full pace.
 """
 
 from geraniumwell.commands.batch.lifecycle import stop_gang
 from geraniumwell.commands.batch.priorities import find_step_spec
-from geraniumwell.model.batch.capacity import WorkerCapacity
 from geraniumwell.model.batch.cluster import Cluster, Order, PaceChange, PaceTask
 from geraniumwell.model.batch.interference import PaceState
 from geraniumwell.model.batch.job import Phase, StopReason, Task
@@ -34,20 +34,19 @@
 HALT_LIMIT_SECONDS = 20.0
 
 
-def is_mixed(capacity: WorkerCapacity | None) -> bool:
-    """Return whether a worker has both fillers and serving tasks."""
-    return capacity is not None and capacity.has_fillers and capacity.has_serving_tasks
-
-
 def decide_pace(cluster: Cluster, worker: Worker, now: float) -> list[Order]:
     """Return the orders that follow from the latest report of a worker.
 
     An order that the worker has not confirmed is repeated.
     """
     paces, name = cluster.interference.paces, worker.entry.id
-    if not is_mixed(cluster.fleet.capacities.get(name)):
+    capacity = cluster.fleet.capacities.get(name)
+    if capacity is None or not capacity.has_fillers:
         paces.pop(name, None)
         return []
+    if not capacity.has_serving_tasks:
+        paces.pop(name, None)
+        return release_fillers(worker)
     fillers, shares = find_mixed_tasks(cluster, worker)
     if not fillers:
         paces.pop(name, None)
@@ -59,7 +58,11 @@
         RESUMED_PERCENT if task.pace is None else task.pace for task in fillers
     )
     wanted = find_pace(state, share, current, now)
-    if stuck := find_stuck(state, fillers, wanted, now):
+    if wanted > 0:
+        state.halted_since = None
+    elif state.halted_since is None:
+        state.halted_since = now
+    if stuck := find_stuck(state, fillers, now):
         return [
             order
             for task in stuck
@@ -72,6 +75,19 @@
     ]
 
 
+def release_fillers(worker: Worker) -> list[Order]:
+    """Return orders of full pace for the fillers of a worker without serving tasks.
+
+    Only fillers ever have another pace.
+    """
+    return [
+        _set_pace(task, FULL_PERCENT, None)
+        for task in worker.tasks.values()
+        if task.phase is Phase.RUNNING
+        and (task.pace != FULL_PERCENT or not task.is_pace_confirmed)
+    ]
+
+
 def find_mixed_tasks(
     cluster: Cluster, worker: Worker
 ) -> tuple[list[Task], list[float]]:
@@ -110,8 +126,6 @@
     """Return the percentage at which the fillers of a worker should work."""
     if share is not None and share >= NEAR_SHARE:
         if current == 0:
-            if state.halted_since is None:
-                state.halted_since = now
             return 0
         record_decrease(state, now)
         return 0 if share >= 1.0 else current // 2
@@ -122,7 +136,6 @@
     if now - state.calm_since < state.wait_seconds:
         return current
     state.calm_since = state.raised_at = now
-    state.halted_since = None
     return min(FULL_PERCENT, current + RAISE_PERCENT)
 
 
@@ -133,16 +146,16 @@
     state.lowered_at = now
 
 
-def find_stuck(
-    state: PaceState, fillers: list[Task], wanted: int, now: float
-) -> list[Task]:
+def find_stuck(state: PaceState, fillers: list[Task], now: float) -> list[Task]:
     """Return the fillers to stop, because their pace does not help.
 
     Those are fillers that may still work although a target has been exceeded for too
     long, and all of them once they have stood still for long.
     """
-    halted_since = now if state.halted_since is None else state.halted_since
-    if wanted == 0 and now - halted_since >= HALT_LIMIT_SECONDS:
+    if (
+        state.halted_since is not None
+        and now - state.halted_since >= HALT_LIMIT_SECONDS
+    ):
         return fillers
     if state.over_since is None or now - state.over_since < OVER_LIMIT_SECONDS:
         return []
@@ -150,10 +163,12 @@
 
 
 def _set_pace(task: Task, percent: int, share: float | None) -> PaceTask:
+    # An unknown pace is in most cases the full one.
+    before = FULL_PERCENT if task.pace is None else task.pace
     change = PaceChange.REPEAT
-    if task.pace is None or percent < task.pace:
+    if percent < before:
         change = PaceChange.LOWER
-    elif percent > task.pace:
+    elif percent > before:
         change = PaceChange.RAISE
     task.pace, task.is_pace_confirmed = percent, False
     return PaceTask(task.worker, task.id, task.run, percent, change, share)
--- a/geraniumwell/commands/batch/registry.py
+++ b/geraniumwell/commands/batch/registry.py
@@ -3,6 +3,7 @@
 from geraniumwell.commands.batch.ends import record_incarnation
 from geraniumwell.commands.batch.leases import find_lease_bound
 from geraniumwell.commands.batch.lifecycle import register_job
+from geraniumwell.commands.batch.priorities import find_step_spec
 from geraniumwell.model.batch.cluster import Cluster
 from geraniumwell.model.batch.job import Job, Phase, StopReason, Task
 from geraniumwell.model.batch.resources import Resources
@@ -106,8 +107,9 @@
     worker.lease_until = find_lease_bound(cluster.policy, now)
     task.start_settled_at = task.started_at = task.progressed_at = now
     task.is_start_sent = True
-    # The earlier scheduler may have ordered any pace.
-    task.pace = None
+    if find_step_spec(cluster, task.id).is_filler:
+        # The earlier scheduler may have ordered any pace.
+        task.pace = None
     if task.phase is Phase.STOPPING:
         # The earlier scheduler may have ended before it sent the stop order.
         task.stopped_at, task.stop_reason = now, StopReason.RESTORED
