Judge stalls and rates only of tasks that work at full pace

Cause: a filler that was halted by order counted as stalled after 6 s, and its healthy worker was avoided. The rate of a slowed run was sampled, so its worker looked slow.

Change: a task whose pace is not 100, or not confirmed, has not stalled and gives no rate. When its pace is raised, or ordered again, the time without progress and the measured rate start again.

Tests: the closed loop of pace plans each second, with a filler that makes no progress and ends when it is stopped. The next run has to work at full pace without a usage. A task without a pace has to stall after a takeover too.

--- a/geraniumwell/commands/batch/pacing.py
+++ b/geraniumwell/commands/batch/pacing.py
@@ -11,12 +11,16 @@
 
 from geraniumwell.commands.batch.lifecycle import stop_gang
 from geraniumwell.commands.batch.priorities import find_step_spec
+from geraniumwell.commands.batch.progress import (
+    FULL_PACE_PERCENT,
+    has_full_pace,
+    restart_progress_clocks,
+)
 from geraniumwell.model.batch.cluster import Cluster, Order, PaceChange, PaceTask
 from geraniumwell.model.batch.interference import PaceState
 from geraniumwell.model.batch.job import Phase, StopReason, Task
 from geraniumwell.model.batch.worker import Worker
 
-FULL_PERCENT = 100
 # Share of its target from which a tail is near it, and below which it is calm.
 NEAR_SHARE = 0.8
 CALM_SHARE = 0.6
@@ -69,7 +73,7 @@
             for order in stop_gang(cluster, task, StopReason.DISTURBING, now)
         ]
     return [
-        _set_pace(task, wanted, share)
+        _set_pace(worker, task, wanted, share)
         for task in fillers
         if task.pace != wanted or not task.is_pace_confirmed
     ]
@@ -81,10 +85,9 @@
     Only fillers ever have another pace.
     """
     return [
-        _set_pace(task, FULL_PERCENT, None)
+        _set_pace(worker, task, FULL_PACE_PERCENT, None)
         for task in worker.tasks.values()
-        if task.phase is Phase.RUNNING
-        and (task.pace != FULL_PERCENT or not task.is_pace_confirmed)
+        if task.phase is Phase.RUNNING and not has_full_pace(task)
     ]
 
 
@@ -129,14 +132,14 @@
             return 0
         record_decrease(state, now)
         return 0 if share >= 1.0 else current // 2
-    if current == FULL_PERCENT or state.calm_since is None:
+    if current == FULL_PACE_PERCENT or state.calm_since is None:
         return current
     if now - state.lowered_at > FORGET_SECONDS:
         state.wait_seconds = RAISE_SECONDS
     if now - state.calm_since < state.wait_seconds:
         return current
     state.calm_since = state.raised_at = now
-    return min(FULL_PERCENT, current + RAISE_PERCENT)
+    return min(FULL_PACE_PERCENT, current + RAISE_PERCENT)
 
 
 def record_decrease(state: PaceState, now: float) -> None:
@@ -162,13 +165,17 @@
     return [task for task in fillers if task.pace != 0 or not task.is_pace_confirmed]
 
 
-def _set_pace(task: Task, percent: int, share: float | None) -> PaceTask:
+def _set_pace(
+    worker: Worker, task: Task, percent: int, share: float | None
+) -> PaceTask:
     # An unknown pace is in most cases the full one.
-    before = FULL_PERCENT if task.pace is None else task.pace
+    before = FULL_PACE_PERCENT if task.pace is None else task.pace
     change = PaceChange.REPEAT
     if percent < before:
         change = PaceChange.LOWER
     elif percent > before:
         change = PaceChange.RAISE
+    if change is not PaceChange.LOWER:
+        restart_progress_clocks(worker, task)
     task.pace, task.is_pace_confirmed = percent, False
     return PaceTask(task.worker, task.id, task.run, percent, change, share)
--- a/geraniumwell/commands/batch/progress.py
+++ b/geraniumwell/commands/batch/progress.py
@@ -31,6 +31,7 @@
 # longer than that for. A long task on a slow worker takes seconds for one percent.
 STALL_PERCENTS = 3
 FINISHED_PERCENT = 100
+FULL_PACE_PERCENT = 100
 # Gangs on more workers than this name no suspects; their rows would become too large.
 SUSPECT_LIMIT = 32
 # Time after which the stalls of a step no longer count.
@@ -82,11 +83,26 @@
     return elapsed_ms / percent
 
 
+def has_full_pace(task: Task) -> bool:
+    """Return whether a task works at full pace, as its worker has confirmed."""
+    return task.pace == FULL_PACE_PERCENT and task.is_pace_confirmed
+
+
+def restart_progress_clocks(worker: Worker, task: Task) -> None:
+    """Measure the progress of a task anew, because its pace was changed."""
+    task.progressed_clock_ms, task.base_clock_ms = worker.clock_ms, None
+
+
 def has_stalled(cluster: Cluster, worker: Worker, task: Task) -> bool:
-    """Return whether a running task has made no progress for too long."""
+    """Return whether a running task has made no progress for too long.
+
+    A task that is slowed or halted by order has not stalled.
+    """
     stalled_ms = find_stalled_ms(worker, task)
     if task.phase is not Phase.RUNNING or stalled_ms < STALL_MS:
         return False
+    if not has_full_pace(task):
+        return False
     percent_ms = find_percent_ms(task)
     if percent_ms is None:
         percent_ms = find_step_spec(cluster, task.id).estimate_seconds * 1000 / 100
--- a/geraniumwell/commands/batch/speeds.py
+++ b/geraniumwell/commands/batch/speeds.py
@@ -19,7 +19,11 @@
     list_neighbours,
 )
 from geraniumwell.commands.batch.lifecycle import find_step_run
-from geraniumwell.commands.batch.progress import FINISHED_PERCENT, find_percent_ms
+from geraniumwell.commands.batch.progress import (
+    FINISHED_PERCENT,
+    find_percent_ms,
+    has_full_pace,
+)
 from geraniumwell.model.batch.capacity import Pool
 from geraniumwell.model.batch.cluster import Cluster
 from geraniumwell.model.batch.job import Task
@@ -69,6 +73,10 @@
     """
     task.progress, task.progressed_at = percent, now
     task.progressed_clock_ms = worker.clock_ms
+    if not has_full_pace(task):
+        # The rate follows from the order and says nothing about the worker.
+        task.base_clock_ms = None
+        return
     if task.base_clock_ms is None:
         # Before that, a gang may still be waiting for its other members.
         if percent > 0:
--- a/tests/commands/batch/pacing.feature
+++ b/tests/commands/batch/pacing.feature
@@ -38,11 +38,21 @@
     When the tail is 42 ms from 51 percent on for 300 seconds
     Then at most 60 pace orders are sent, none below 20 percent
 
-  # Guards against a filler that holds its memory for a long time without any progress.
+  # Guards against a filler that holds its memory for a long time without any progress,
+  # against a healthy worker that is avoided because its filler was halted by order, and
+  # against the pace of one run that is taken for that of the next.
   Scenario: A filler that stands still for long is stopped, and runs elsewhere
     Given a filler beside a serving task with a target of 50 ms, started by this scheduler
     When the tail is 42 ms from 0 percent on for 30 seconds
     Then the filler is stopped once, after 26 seconds
+    And no worker is avoided at second 127
+    And its next run works at full pace and has no usage
+
+  # Guards against a stall that is counted from a time at which the filler was halted.
+  Scenario: The time without progress starts again when a filler works at full pace
+    Given a filler beside a serving task with a target of 50 ms, started by this scheduler
+    When the tail is 60 ms for 10 seconds and the serving task then leaves
+    Then the filler is stopped once, after 16 seconds
 
   # Guards against a filler that stands still forever because the tail stays between calm
   # and near, or is unknown.
--- a/tests/commands/batch/progress.feature
+++ b/tests/commands/batch/progress.feature
@@ -80,6 +80,18 @@
     When another scheduler restores the job "j"
     Then the job "j" has 1 stall on the worker "elsewhere"
 
+  # Guards against tasks that never count as stalled after a takeover, because their pace
+  # is unknown; only that of fillers is.
+  Scenario: A task that stands still after a takeover is stopped
+    Given workers in the racks "r1"
+    And a job "j" of 1 tasks with 1 accelerators
+    And the scheduler planned at second 1
+    When another scheduler restores the job "j"
+    Given the tasks of "j" report "20" percent at second 3
+    And the tasks of "j" report "20" percent at second 10
+    When the scheduler plans at second 10
+    Then 1 tasks of "j" are stopped because they "stalled" for 7000 ms
+
   # Guards against a step that pauses for half a minute because one worker is frozen.
   Scenario: Several tasks of a step on one frozen worker count as one stall
     Given workers in the racks "r1 r1"
--- a/tests/commands/batch/speeds.feature
+++ b/tests/commands/batch/speeds.feature
@@ -81,3 +81,25 @@
     And the tasks of "odd" report "10" percent at second 4
     And the tasks of "odd" report "60" percent at second 3
     Then only the run of "j" is measured, with 40 ms for each percent
+
+  # Guards against a healthy worker that looks slow because its fillers were slowed by
+  # order.
+  Scenario Outline: The rate of a run is measured only at full pace
+    Given workers in the racks "r1 r1"
+    And a job "j" of 1 tasks with 8 accelerators
+    And a job "paced" of 1 tasks with 8 accelerators
+    And the scheduler planned at second 1
+    And the tasks of "j" report "10" percent at second 2
+    And the tasks of "paced" report "10" percent at second 2
+    And the task of "paced" works at <percent> percent, which is <confirmed>
+    And the tasks of "paced" report "60" percent at second 4
+    And the task of "paced" works at 100 percent, which is confirmed
+    And the tasks of "paced" report "70" percent at second 5
+    And the tasks of "paced" report "85" percent at second 6
+    And the tasks of "j" report "60" percent at second 4
+    Then only the run of "j" is measured, with 40 ms for each percent
+
+    Examples:
+      | percent | confirmed   |
+      | 50      | confirmed   |
+      | 100     | unconfirmed |
--- a/tests/commands/batch/speeds_steps.py
+++ b/tests/commands/batch/speeds_steps.py
@@ -51,6 +51,12 @@
     submit(context.cluster, job)
 
 
+@given('the task of "{name}" works at {percent:d} percent, which is {confirmed}')
+def step_pace(context: Context, name: str, percent: int, confirmed: str) -> None:
+    (task,) = list_tasks(context.cluster, name)
+    task.pace, task.is_pace_confirmed = percent, confirmed == "confirmed"
+
+
 @then('the job "{name}" runs on none of the workers "{names}"')
 def step_not_on(context: Context, name: str, names: str) -> None:
     used = list_workers(context, name)
