Repeat pace 0 over a target, and order paces only for listed runs

Cause: an increase whose answer is lost may take effect after the decrease that followed it, and a confirmed pace 0 was never ordered again. After a report that may not contain all ends, a pace was ordered for a run that was not listed and may have ended.

Change: while a target is exceeded, pace 0 is repeated with each report, which leaves its confirmation valid. The pace is not raised while an earlier order is unconfirmed. decide_pace gets the report and uses only the runs that it lists; a filler that is not listed keeps the control state of its worker.

Tests: the row with tails of 41, 55 and 60 ms expected no order for a confirmed pace 0 over the target; that was the fault, so it now expects the repetition. An answer with another percentage must not confirm a pace.

Conclusion: a late increase lasts until the next report at most while a target is exceeded.

--- a/geraniumwell/actors/batch/poll_results.py
+++ b/geraniumwell/actors/batch/poll_results.py
@@ -39,7 +39,7 @@
             log_ends(worker, message)
             orders = apply_report(cluster, worker, report, sent_at, now, wall_now)
             observe_report(cluster, worker, report, now)
-            orders += decide_pace(cluster, worker, now)
+            orders += decide_pace(cluster, worker, report, now)
             if worker.has_unknown_runs:
                 worker.poll_after = now + UNKNOWN_RUN_RETRY_SECONDS
             elif poll.acknowledged_end < worker.last_saved_end:
--- a/geraniumwell/commands/batch/pacing.py
+++ b/geraniumwell/commands/batch/pacing.py
@@ -19,7 +19,7 @@
 from geraniumwell.model.batch.cluster import Cluster, Order, PaceChange, PaceTask
 from geraniumwell.model.batch.interference import PaceState
 from geraniumwell.model.batch.job import Phase, StopReason, Task
-from geraniumwell.model.batch.worker import Worker
+from geraniumwell.model.batch.worker import Worker, WorkerReport
 
 # Share of its target from which a tail is near it, and below which it is calm.
 NEAR_SHARE = 0.8
@@ -38,10 +38,13 @@
 HALT_LIMIT_SECONDS = 20.0
 
 
-def decide_pace(cluster: Cluster, worker: Worker, now: float) -> list[Order]:
-    """Return the orders that follow from the latest report of a worker.
+def decide_pace(
+    cluster: Cluster, worker: Worker, report: WorkerReport, now: float
+) -> list[Order]:
+    """Return the orders that follow from an applied report of a worker.
 
-    An order that the worker has not confirmed is repeated.
+    An order that the worker has not confirmed is repeated. So is pace 0 while a target
+    is exceeded, because an earlier increase without an answer may take effect late.
     """
     paces, name = cluster.interference.paces, worker.entry.id
     capacity = cluster.fleet.capacities.get(name)
@@ -50,18 +53,14 @@
         return []
     if not capacity.has_serving_tasks:
         paces.pop(name, None)
-        return release_fillers(worker)
-    fillers, shares = find_mixed_tasks(cluster, worker)
-    if not fillers:
-        paces.pop(name, None)
-        return []
+        return release_fillers(worker, report)
+    fillers, shares = find_mixed_tasks(cluster, worker, report)
     state = paces.setdefault(name, PaceState(wait_seconds=RAISE_SECONDS))
     share = max(shares, default=None)
     update_state(state, share, now)
-    current = min(
-        RESUMED_PERCENT if task.pace is None else task.pace for task in fillers
-    )
-    wanted = find_pace(state, share, current, now)
+    if not fillers:
+        return []
+    wanted = find_pace(state, share, fillers, now)
     if wanted > 0:
         state.halted_since = None
     elif state.halted_since is None:
@@ -72,34 +71,48 @@
             for task in stuck
             for order in stop_gang(cluster, task, StopReason.DISTURBING, now)
         ]
+    is_repeated = wanted == 0 and state.over_since is not None
     return [
         _set_pace(worker, task, wanted, share)
         for task in fillers
-        if task.pace != wanted or not task.is_pace_confirmed
+        if is_repeated or task.pace != wanted or not task.is_pace_confirmed
     ]
 
 
-def release_fillers(worker: Worker) -> list[Order]:
+def release_fillers(worker: Worker, report: WorkerReport) -> list[Order]:
     """Return orders of full pace for the fillers of a worker without serving tasks.
 
     Only fillers ever have another pace.
     """
+    if all(has_full_pace(task) for task in worker.tasks.values()):
+        return []
     return [
         _set_pace(worker, task, FULL_PACE_PERCENT, None)
-        for task in worker.tasks.values()
-        if task.phase is Phase.RUNNING and not has_full_pace(task)
+        for task in list_running(worker, report)
+        if not has_full_pace(task)
     ]
 
 
+def list_running(worker: Worker, report: WorkerReport) -> list[Task]:
+    """Return the running tasks that a report lists; the runs of others may have ended.
+
+    A report that does not contain all ends leaves such tasks placed.
+    """
+    found = (
+        task
+        for item in report.running
+        if (task := worker.tasks.get(item.id)) is not None and task.run == item.run
+    )
+    return [task for task in found if task.phase is Phase.RUNNING]
+
+
 def find_mixed_tasks(
-    cluster: Cluster, worker: Worker
+    cluster: Cluster, worker: Worker, report: WorkerReport
 ) -> tuple[list[Task], list[float]]:
     """Return the running fillers, and the tails of serving tasks by target."""
     fillers: list[Task] = []
     shares: list[float] = []
-    for task in worker.tasks.values():
-        if task.phase is not Phase.RUNNING:
-            continue
+    for task in list_running(worker, report):
         spec = find_step_spec(cluster, task.id)
         if spec.target_ms:
             if task.usage is not None:
@@ -125,8 +138,13 @@
         state.calm_since = now
 
 
-def find_pace(state: PaceState, share: float | None, current: int, now: float) -> int:
+def find_pace(
+    state: PaceState, share: float | None, fillers: list[Task], now: float
+) -> int:
     """Return the percentage at which the fillers of a worker should work."""
+    current = min(
+        RESUMED_PERCENT if task.pace is None else task.pace for task in fillers
+    )
     if share is not None and share >= NEAR_SHARE:
         if current == 0:
             return 0
@@ -134,6 +152,9 @@
         return 0 if share >= 1.0 else current // 2
     if current == FULL_PACE_PERCENT or state.calm_since is None:
         return current
+    if not all(task.is_pace_confirmed for task in fillers):
+        # The worker may apply an earlier order late, after the increase.
+        return current
     if now - state.lowered_at > FORGET_SECONDS:
         state.wait_seconds = RAISE_SECONDS
     if now - state.calm_since < state.wait_seconds:
@@ -177,5 +198,6 @@
         change = PaceChange.RAISE
     if change is not PaceChange.LOWER:
         restart_progress_clocks(worker, task)
-    task.pace, task.is_pace_confirmed = percent, False
+    if percent != task.pace:
+        task.pace, task.is_pace_confirmed = percent, False
     return PaceTask(task.worker, task.id, task.run, percent, change, share)
--- a/tests/actors/batch/order_dispatch_steps.py
+++ b/tests/actors/batch/order_dispatch_steps.py
@@ -1,5 +1,6 @@
 """Steps of the dispatch of orders; pacing_steps.py sets up the cluster."""
 
+from dataclasses import replace
 from unittest.mock import Mock
 
 from behave import then, when
@@ -44,6 +45,8 @@
 
 @then("the pace is in force once the worker has confirmed it")
 def step_in_force(context: Context) -> None:
+    earlier = replace(context.order, percent=context.order.percent + 10)
+    apply_order_result(context.cluster, PaceAnswered(earlier), 2.0)
     assert not context.filler.is_pace_confirmed
     apply_order_result(context.cluster, PaceAnswered(context.order), 2.0)
     assert context.filler.is_pace_confirmed
--- a/tests/commands/batch/pacing.feature
+++ b/tests/commands/batch/pacing.feature
@@ -1,7 +1,8 @@
 Feature: Fillers beside tasks with a latency target work only as much as these bear
 
   # Guards against a target that is exceeded for 4.5 s because of a filler, also when
-  # the worker does not confirm its pace.
+  # the worker does not confirm its pace or applies an order late, and against orders to
+  # a run that may have ended, because the report ("-") lists another one.
   Scenario Outline: The pace is lowered before the target is exceeded, a stop is last
     Given a filler beside a serving task with a target of 50 ms, started by <who>
     When the worker reports tails of <tails> ms once a second and <confirms> paces
@@ -10,10 +11,16 @@
     Examples:
       | who                    | tails          | confirms | orders                                  |
       | this scheduler         | 20 41 39 42    | confirms | - lower-50 - lower-25                   |
-      | this scheduler         | 41 55 60       | confirms | lower-50 lower-0 -                      |
+      | this scheduler         | 41 55 60 60 60 | confirms | lower-50 lower-0 repeat-0 repeat-0 repeat-0 |
+      | this scheduler         | 55 60 60 60    | confirms changed | lower-0 repeat-0 repeat-0 repeat-0 |
+      | this scheduler         | 55 45 35       | confirms | lower-0 - -                             |
       | this scheduler         | 45 45 20       | ignores  | lower-50 lower-25 repeat-25             |
       | this scheduler         | 20 55 60 60 60 | ignores  | - lower-0 repeat-0 stop -               |
       | this scheduler         | 41 x 20 20 x   | confirms | lower-50 - - - -                        |
+      | this scheduler         | 41 20 20 20 20 | confirms | lower-50 - - - raise-60                 |
+      | this scheduler         | 41 20 20 20 20 | ignores  | lower-50 repeat-50 repeat-50 repeat-50 repeat-50 |
+      | this scheduler         | 41- 41         | confirms | - lower-50                              |
+      | this scheduler         | 60 60- 60      | ignores  | lower-0 - stop                          |
       | this scheduler         | 0 999999999    | confirms | - lower-0                               |
       | an earlier scheduler   | 20 20          | ignores  | lower-20 repeat-20                      |
       | an earlier scheduler   | 60             | confirms | lower-0                                 |
@@ -31,6 +38,7 @@
       | this scheduler         | 41 gone gone   | confirms | lower-50 raise-100 -                    |
       | this scheduler         | 55 gone gone   | ignores  | lower-0 raise-100 repeat-100            |
       | an earlier scheduler   | gone gone      | confirms | repeat-100 -                            |
+      | an earlier scheduler   | gone- gone     | confirms | - repeat-100                            |
 
   # Guards against a pace that swings between two values for as long as the load stays.
   Scenario: A filler that disturbs at half its pace is raised ever more rarely
--- a/tests/commands/batch/pacing_steps.py
+++ b/tests/commands/batch/pacing_steps.py
@@ -1,6 +1,7 @@
 """Steps of the pace of fillers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
+from dataclasses import replace
 
 from behave import given, then, when
 from behave.runner import Context
@@ -9,9 +10,9 @@
 from geraniumwell.commands.batch.indexing import refresh_fleet
 from geraniumwell.commands.batch.lifecycle import cancel_job, release_task
 from geraniumwell.commands.batch.pacing import decide_pace
-from geraniumwell.model.batch.cluster import Order, PaceTask, StopTask
+from geraniumwell.model.batch.cluster import Order, PaceChange, PaceTask, StopTask
 from geraniumwell.model.batch.job import Phase
-from geraniumwell.model.batch.worker import EndKind, RunningTask
+from geraniumwell.model.batch.worker import EndKind, RunningTask, WorkerReport
 from tests.support.batch import (
     WALL,
     end_task,
@@ -25,6 +26,13 @@
     start_on,
 )
 
+# Pace orders that the worker confirms.
+CONFIRMED: dict[str, Container[PaceChange]] = {
+    "confirms": PaceChange,
+    "confirms changed": (PaceChange.LOWER, PaceChange.RAISE),
+    "ignores": (),
+}
+
 
 @given(
     "a filler beside a serving task with a target of {target:d} ms, started by {who}"
@@ -39,11 +47,11 @@
         (context.filler,) = list_tasks(context.cluster, "filler")
     serving = make_step(is_long_running=True, target_ms=target)
     context.serving = start_on(context.cluster, make_job("web", serving), "w1")
-    context.pace = 100
+    context.pace, context.is_filler_unlisted = 100, False
 
 
 def report_tail(
-    context: Context, now: float, tail: int | None, is_confirmed: bool
+    context: Context, now: float, tail: int | None, confirmed: Container[PaceChange]
 ) -> list[Order]:
     """Apply a report, and return the orders that follow."""
     worker = context.cluster.workers["w1"]
@@ -51,10 +59,16 @@
         RunningTask(task.id, task.run, "", 1, tail if task.id.job == "web" else 900)
         for task in worker.tasks.values()
     )
-    report(context.cluster, "w1", now, running)
-    orders = decide_pace(context.cluster, worker, now)
+    if context.is_filler_unlisted:
+        running = tuple(
+            replace(item, run=item.run - 1) if item.id.job == "filler" else item
+            for item in running
+        )
+    report(context.cluster, "w1", now, running, may_have_more_ends=True)
+    latest = WorkerReport(worker.clock_ms, running, ())
+    orders = decide_pace(context.cluster, worker, latest, now)
     for order in orders:
-        if isinstance(order, PaceTask) and is_confirmed:
+        if isinstance(order, PaceTask) and order.change in confirmed:
             apply_pace_answer(context.cluster, order)
             context.pace = order.percent
     return orders
@@ -79,10 +93,12 @@
 def step_tails(context: Context, tails: str, confirms: str) -> None:
     context.orders = []
     for second, tail in enumerate(tails.split()):
+        context.is_filler_unlisted = tail.endswith("-")
+        tail = tail.rstrip("-")
         if tail == "gone":
             end_serving(context)
         usage = int(tail) if tail.isdigit() else None
-        orders = report_tail(context, 100.0 + second, usage, confirms == "confirms")
+        orders = report_tail(context, 100.0 + second, usage, CONFIRMED[confirms])
         context.orders.append(format_orders(orders))
 
 
@@ -125,7 +141,7 @@
     context.orders = []
     for second in range(first, first + seconds):
         now = 100.0 + second
-        orders = report_tail(context, now, find_tail(), True)
+        orders = report_tail(context, now, find_tail(), PaceChange)
         orders += run_plan(context.cluster, now)
         context.orders += [(second, order) for order in orders]
         if any(isinstance(order, StopTask) for order in orders):
