Group the log lines of paces, and accept jobs with an odd image

Cause: one line was written for each filler whose pace changed. A step with an image or a number of tasks that may be unavailable (MayMiss) of another type was rejected, although earlier versions, which did not read these fields, accepted it.

Change: pace orders share one line for each step, run, percentage and direction. An odd image counts as none, an odd MayMiss as 0.

Conclusion: MayMiss has to be considered by the evacuation, which is not part of this change.

--- a/geraniumwell/actors/batch/order_dispatch.py
+++ b/geraniumwell/actors/batch/order_dispatch.py
@@ -4,8 +4,8 @@
 from geraniumwell.actors.batch.worker_caller import WorkerCaller
 from geraniumwell.helpers.batch_log_fields import (
     format_reason,
-    format_step_id,
     group_order_fields,
+    group_pace_fields,
 )
 from geraniumwell.helpers.batch_metrics import PACES, STOPS
 from geraniumwell.helpers.event_log import EVENT_LOG
@@ -44,16 +44,8 @@
 def log_paces(orders: list[PaceTask]) -> None:
     """Count the pace orders of one report, and log those that are not repeated."""
     for order in orders:
-        change = order.change or PaceChange.REPEAT
-        PACES.labels(change.value).inc()
-        if change is not PaceChange.REPEAT:
-            EVENT_LOG.write(
-                "pace",
-                job=order.id.job,
-                step=format_step_id(order.id),
-                run=order.run,
-                on=order.worker,
-                percent=order.percent,
-                why=change.value,
-                share=None if order.share is None else round(order.share, 2),
-            )
+        PACES.labels((order.change or PaceChange.REPEAT).value).inc()
+    unlogged = (None, PaceChange.REPEAT)
+    changed = [order for order in orders if order.change not in unlogged]
+    for fields in group_pace_fields(changed):
+        EVENT_LOG.write("pace", **fields)
--- a/geraniumwell/helpers/batch_log_fields.py
+++ b/geraniumwell/helpers/batch_log_fields.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from geraniumwell.model.batch.cluster import StartTask, StopTask
+from geraniumwell.model.batch.cluster import PaceTask, StartTask, StopTask
 from geraniumwell.model.batch.job import TaskId
 from geraniumwell.model.batch.worker import EndedTask
 
@@ -53,6 +53,30 @@
     return ""
 
 
+def group_pace_fields(orders: Iterable[PaceTask]) -> list[dict[str, Any]]:
+    """Return the fields of one line for each step, run, percentage and direction."""
+    groups: dict[tuple[str, str, int, int, str], list[PaceTask]] = {}
+    for order in orders:
+        why = order.change.value if order.change else ""
+        key = (order.id.job, format_step_id(order.id), order.run, order.percent, why)
+        groups.setdefault(key, []).append(order)
+    return [
+        {
+            "job": job,
+            "step": step,
+            "run": run,
+            "tasks": len(found),
+            "on": " ".join(sorted({order.worker for order in found})),
+            "percent": percent,
+            "why": why,
+            "share": max(
+                (round(o.share, 2) for o in found if o.share is not None), default=None
+            ),
+        }
+        for (job, step, run, percent, why), found in groups.items()
+    ]
+
+
 def group_end_fields(worker: str, ends: Iterable[EndedTask]) -> list[dict[str, Any]]:
     """Return the fields of one line for each step, run and kind of end on a worker."""
     groups = Counter(
--- a/geraniumwell/platform/decode.py
+++ b/geraniumwell/platform/decode.py
@@ -143,8 +143,8 @@
         step.affinity,
         step.anti_affinity,
         step.target_ms,
-        step.image,
-        step.may_miss,
+        step.image if isinstance(step.image, str) else "",
+        _read_amount(step.may_miss) or 0,
     )
 
 
@@ -234,7 +234,7 @@
         _read_integer(row[1]),
         checkpoint,
         _read_integer(row[3]),
-        _read_usage(row[4]) if len(row) > 4 else None,
+        _read_amount(row[4]) if len(row) > 4 else None,
     )
 
 
@@ -250,8 +250,8 @@
     )
 
 
-def _read_usage(value: Any) -> int | None:
-    """Return a reported usage; None for anything else, because it is only a hint."""
+def _read_amount(value: Any) -> int | None:
+    """Return an amount that is only a hint; None for anything else."""
     if type(value) not in (int, float) or not 0 <= value <= MAX_NUMBER:
         return None
     return int(value)
--- a/geraniumwell/platform/wire.py
+++ b/geraniumwell/platform/wire.py
@@ -103,10 +103,11 @@
     long_running: bool = False
     fills: bool = False
     target_ms: Amount = 0
+    # Odd values of the fields below reject no job: earlier versions accepted them.
     # Tasks of the same image behave alike.
-    image: str = ""
+    image: Any = ""
     # Maximum number of serving tasks of the step that may be unavailable.
-    may_miss: Amount = 0
+    may_miss: Any = 0
 
 
 class WireJob(Struct, rename="pascal"):
--- a/tests/helpers/batch_log_fields.feature
+++ b/tests/helpers/batch_log_fields.feature
@@ -12,3 +12,9 @@
     Given tasks of one step ended: 3 as "done" and 2 as "failed"
     When their log lines are grouped
     Then there are lines for 3 tasks "done" and 2 tasks "failed"
+
+  # Guards against one line for each filler on a worker whose fillers change their pace.
+  Scenario: The paces of one step share one line for each percentage
+    Given 3 paces of 50 percent and 2 of 0 percent for one step
+    When their log lines are grouped
+    Then there are lines for 3 tasks at 50 percent and 2 tasks at 0 percent
--- a/tests/helpers/batch_log_fields_steps.py
+++ b/tests/helpers/batch_log_fields_steps.py
@@ -3,8 +3,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from geraniumwell.helpers.batch_log_fields import group_end_fields, group_order_fields
-from geraniumwell.model.batch.cluster import StartTask
+from geraniumwell.helpers.batch_log_fields import (
+    group_end_fields,
+    group_order_fields,
+    group_pace_fields,
+)
+from geraniumwell.model.batch.cluster import PaceChange, PaceTask, StartTask
 from geraniumwell.model.batch.job import TaskId
 from geraniumwell.model.batch.worker import EndedTask, EndKind
 
@@ -29,6 +33,15 @@
     context.group = lambda: group_end_fields("w1", ends)
 
 
+@given("{low:d} paces of 50 percent and {halted:d} of 0 percent for one step")
+def step_paces(context: Context, low: int, halted: int) -> None:
+    orders = [
+        PaceTask("w1", TaskId("j", 0, 0, index), 1, percent, PaceChange.LOWER, 0.844)
+        for index, percent in enumerate([50] * low + [0] * halted)
+    ]
+    context.group = lambda: group_pace_fields(orders)
+
+
 @when("their log lines are grouped")
 def step_group(context: Context) -> None:
     context.lines = context.group()
@@ -45,3 +58,15 @@
 def step_kinds(context: Context, done: int, failed: int) -> None:
     found = {line["how"]: line["tasks"] for line in context.lines}
     assert found == {"done": done, "failed": failed}, found
+
+
+@then(
+    "there are lines for {low:d} tasks at 50 percent and {halted:d} tasks at 0 percent"
+)
+def step_percentages(context: Context, low: int, halted: int) -> None:
+    shared = {"job": "j", "step": "0.0", "run": 1, "on": "w1"}
+    shared |= {"why": "lower", "share": 0.84}
+    assert context.lines == [
+        shared | {"tasks": low, "percent": 50},
+        shared | {"tasks": halted, "percent": 0},
+    ], context.lines
