Keep tasks without accelerators on the least free worker

Cause: conflicts came before memory and processor time in the order of workers with as many free accelerators. A unit without accelerators could so use the last worker with enough cores for a later one, whose start it cost.

Change: the key counts for units that need accelerators only. The order over all levels in a mostly idle pool stays. The recent tails are kept by kind, then by worker in the order of their last tail, so that an evaluation doesn't visit all.

Measured: the new scenario failed before and passes.

Conclusion: separation no longer costs the start of such a unit.

--- a/geraniumwell/commands/batch/interference.py
+++ b/geraniumwell/commands/batch/interference.py
@@ -151,8 +151,7 @@
     compared = choose_comparisons(table, tails, now)
     if not compared:
         return
-    kinds = {sample.kind for sample, _ in compared}
-    references = TailReferences(table.tails, kinds, now)
+    references = TailReferences(table.tails, now)
     deviations = [
         (sample, other, sample.log_share - expected)
         for sample, other in compared
@@ -166,13 +165,21 @@
 ) -> None:
     """Keep tails as references, and drop those that are too old."""
     for sample in samples:
-        key = (sample.kind, sample.worker)
-        if key not in table.tails:
-            table.tails[key] = deque(maxlen=TAILS_PER_WORKER)
-        table.tails[key].append(sample)
-    for key, tails in list(table.tails.items()):
-        if now - tails[-1].measured_at > TAIL_SECONDS:
-            del table.tails[key]
+        by_worker = table.tails.setdefault(sample.kind, {})
+        tails = by_worker.pop(sample.worker, None) or deque(maxlen=TAILS_PER_WORKER)
+        tails.append(sample)
+        by_worker[sample.worker] = tails
+    for kind, by_worker in list(table.tails.items()):
+        # Workers are ordered by their last tail, so only stale ones are visited.
+        stale: list[str] = []
+        for worker, tails in by_worker.items():
+            if now - tails[-1].measured_at <= TAIL_SECONDS:
+                break
+            stale.append(worker)
+        for worker in stale:
+            del by_worker[worker]
+        if not by_worker:
+            del table.tails[kind]
 
 
 def choose_comparisons(
--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -208,11 +208,15 @@
 ) -> Placement:
     """Return the workers on which tasks of a unit fit, the least free one first.
 
-    Among workers with as many free accelerators, those with the fewest tasks of the
-    kinds in ``opponents`` come first. The free accelerators that remain are the same.
+    For units that need accelerators, those with the fewest tasks of the kinds in
+    ``opponents`` come first among workers with as many free accelerators, so the free
+    accelerators that remain are the same. For other units that order could use up the
+    memory or processor time that a later unit needs.
     """
     needs = find_reserved_resources(unit.spec)
     wanted = needs.accelerators
+    if not wanted:
+        opponents = frozenset()
     max_tasks = len(unit.ids)
     fitting: Placement = []
     for capacity in capacities:
--- a/geraniumwell/commands/batch/references.py
+++ b/geraniumwell/commands/batch/references.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from itertools import islice
 from random import Random
 from statistics import median, median_high
 
@@ -112,15 +113,11 @@
 class TailReferences:
     """Expected tails of serving tasks by kind, worker and absent neighbour."""
 
-    __slots__ = ("_by_kind", "_found", "_now", "_tails")
+    __slots__ = ("_found", "_now", "_tails")
 
-    def __init__(self, tails: Tails, kinds: set[str], now: float) -> None:
+    def __init__(self, tails: Tails, now: float) -> None:
         self._now = now
         self._tails = tails
-        self._by_kind: dict[str, list[deque[TailSample]]] = {kind: [] for kind in kinds}
-        for kind, worker in tails:
-            if kind in kinds and len(self._by_kind[kind]) < TAIL_WORKER_LIMIT:
-                self._by_kind[kind].append(tails[kind, worker])
         self._found: dict[tuple[str, str], float | None] = {}
 
     def find_expected(self, sample: TailSample, other: str) -> float | None:
@@ -134,11 +131,12 @@
         if key not in self._found:
             self._found[key] = self._find_usual(sample.kind, other)
         usual = self._found[key]
-        own = self._find_median(self._tails[sample.kind, sample.worker], other)
+        own = self._find_median(self._tails[sample.kind][sample.worker], other)
         return None if usual is None or own is None else max(usual, own)
 
     def _find_usual(self, kind: str, other: str) -> float | None:
-        found = [self._find_median(tails, other) for tails in self._by_kind[kind]]
+        latest = islice(reversed(self._tails[kind].values()), TAIL_WORKER_LIMIT)
+        found = [self._find_median(tails, other) for tails in latest]
         shares = [share for share in found if share is not None]
         # The higher one of two: with a lower one all other workers seem disturbed.
         return median_high(shares) if len(shares) >= MIN_TAIL_WORKERS else None
--- a/geraniumwell/model/batch/interference.py
+++ b/geraniumwell/model/batch/interference.py
@@ -39,8 +39,9 @@
     measured_at: float
 
 
-# Recent tails by kind and worker, the oldest first.
-Tails = dict[tuple[str, str], deque[TailSample]]
+# Recent tails by kind and worker, the oldest first. The worker with the latest one is
+# the last.
+Tails = dict[str, dict[str, deque[TailSample]]]
 
 
 @dataclass(slots=True)
--- a/tests/commands/batch/interference.feature
+++ b/tests/commands/batch/interference.feature
@@ -62,6 +62,15 @@
       | r1 r1 | 14    | 7      |
       | r1    | 7     | 7      |
 
+  # Guards against a task without accelerators that takes the last free worker from one
+  # that needs much processor time.
+  Scenario: Tasks without accelerators stay on the least free worker
+    Given workers in the racks "r1 r1"
+    And a task of the image "b" on the worker "w1", of "c" on the others, and "a b"
+    And over half of the accelerators and most cores of "w1" are in use
+    When a task of "a" without accelerators is placed, and one that fits on "w2" only
+    Then the latter is started
+
   # Guards against a changed placement where nothing disturbs.
   Scenario: Evidence of harmless pairs changes no placement
     When 30 jobs of 8 images are placed with and without evidence that no pair disturbs
--- a/tests/commands/batch/interference_steps.py
+++ b/tests/commands/batch/interference_steps.py
@@ -19,6 +19,8 @@
 from geraniumwell.commands.batch.speeds import derive_speeds, drop_old_samples
 from geraniumwell.model.batch.cluster import Cluster, StartTask
 from geraniumwell.model.batch.interference import TailSample
+from geraniumwell.model.batch.job import StepSpec
+from geraniumwell.model.batch.resources import Resources
 from geraniumwell.model.batch.speed import RateSample
 from geraniumwell.model.batch.speed import add_sample as add_rate_sample
 from geraniumwell.model.batch.worker import RunningTask
@@ -183,6 +185,26 @@
     assert (len(found), found.count("w1")) == (count, beside), found
 
 
+@given('over half of the accelerators and most cores of "w1" are in use')
+def step_busy(context: Context) -> None:
+    for name, millis in (("w1", 14_000), ("w2", 0)):
+        step = StepSpec(1, Resources(millis, 1000, 5), estimate_seconds=2.0)
+        start_on(context.cluster, make_job(f"busy-{name}", step), name)
+
+
+@when('a task of "a" without accelerators is placed, and one that fits on "w2" only')
+def step_place_without(context: Context) -> None:
+    for name, millis, image in (("small", 1000, "a"), ("large", 15_000, "d")):
+        step = StepSpec(1, Resources(millis, 1000, 0), 2.0, image=image)
+        submit(context.cluster, make_job(name, step))
+        context.orders = run_plan(context.cluster, 4.0)
+
+
+@then("the latter is started")
+def step_latter(context: Context) -> None:
+    assert [order.worker for order in context.orders] == ["w2"], context.orders
+
+
 def place_jobs(has_evidence: bool) -> list[StartTask]:
     """Return the starts of jobs of many sizes and images."""
     rng, cluster = Random(1), make_cluster("r1 r1 r2 r2 r3 r3")
