Keep rates and tails of a pair apart, and limit names of kinds by bytes

Cause: whether evidence is about tails was derived by comparing weights, and a kind with both measures mixed them in one pair. Names were limited by characters, of which each takes up to four bytes in the stored row.

Change: the measure is part of the key of a pair, and a field of its log line. Names are cut to 100 bytes. The stored row keeps its format.

Conclusion: one pair never holds two measures.

--- a/geraniumwell/actors/batch/interference_log.py
+++ b/geraniumwell/actors/batch/interference_log.py
@@ -11,11 +11,12 @@
     INTERFERING_PAIRS.set(count_known_pairs(table))
     while table.changes:
         change = table.changes.popleft()
-        kind, other = change.pair
+        kind, other, is_tail = change.pair
         EVENT_LOG.write(
             "interference",
             kind=kind,
             beside=other,
+            measure="tail" if is_tail else "rate",
             state="known" if change.is_known else "forgotten",
             factor=round(change.slowdown.factor, 2),
             confidence=round(change.slowdown.confidence, 3),
--- a/geraniumwell/codec/interference.py
+++ b/geraniumwell/codec/interference.py
@@ -35,7 +35,7 @@
     """Return the row of a table; it is empty while no pair is kept apart."""
     pairs = table.pairs.items() if table.opponents else ()
     rows = [
-        (*pair, evidence.is_tail, evidence.is_known, _encode_workers(evidence, now))
+        (*pair, evidence.is_known, _encode_workers(evidence, now))
         for pair, evidence in pairs
     ]
     return pack_row((int(wall_now * 1000), rows))
@@ -75,5 +75,5 @@
             name: WorkerEvidence(effect / SCALE, weight / SCALE, saved_at - age / 1000)
             for name, effect, weight, age in workers
         }
-        pairs[kind, other] = PairEvidence(is_tail, entries, is_known)
+        pairs[kind, other, is_tail] = PairEvidence(entries, is_known)
     return pairs
--- a/geraniumwell/commands/batch/evidence.py
+++ b/geraniumwell/commands/batch/evidence.py
@@ -34,7 +34,6 @@
 def add_evidence(
     table: InterferenceTable,
     found: dict[KindPair, dict[str, list[float]]],
-    weight: float,
     now: float,
 ) -> None:
     """Add deviations by pair and worker, within the limits of the table."""
@@ -42,12 +41,12 @@
     for pair, by_worker in found.items():
         if not has_space(table, pair, kinds):
             continue
-        kinds.update(pair)
+        kinds.update(pair[:2])
         # The samples of a worker in one evaluation share its state and count as one.
         for worker, values in by_worker.items():
             limited = max(-DEVIATION_LIMIT, min(DEVIATION_LIMIT, median(values)))
-            add_sample(table, pair, worker, limited, weight, now)
-        _drop_excess_workers(table.pairs[pair], now)
+            add_sample(table, pair, worker, limited, now)
+        _drop_excess_workers(table, pair, now)
 
 
 def add_sample(
@@ -55,27 +54,28 @@
     pair: KindPair,
     worker: str,
     deviation: float,
-    weight: float,
     now: float,
 ) -> None:
     """Add the deviation that was measured on one worker to the evidence of a pair."""
     evidence = table.pairs.get(pair)
     if evidence is None:
-        evidence = table.pairs[pair] = PairEvidence(weight == TAIL_WEIGHT)
+        evidence = table.pairs[pair] = PairEvidence()
+    weight = TAIL_WEIGHT if pair[2] else RATE_WEIGHT
     table.has_unsaved_changes = True
     entry = evidence.workers.setdefault(worker, WorkerEvidence(0.0, 0.0, now))
-    kept = decay(entry, find_half_life(evidence), now)
+    kept = decay(entry, find_half_life(pair), now)
     entry.effect += (deviation - entry.effect) * weight / (kept + weight)
     entry.weight = min(kept + weight, WORKER_WEIGHT_LIMIT)
     entry.updated_at = now
 
 
-def _drop_excess_workers(evidence: PairEvidence, now: float) -> None:
+def _drop_excess_workers(table: InterferenceTable, pair: KindPair, now: float) -> None:
+    evidence = table.pairs[pair]
     # Dropping the oldest instead would leave each with a single sample.
     excess = len(evidence.workers) - WORKER_LIMIT
     if excess > 0:
         weights = {
-            name: find_weight(evidence, entry, now)
+            name: find_weight(pair, evidence, entry, now)
             for name, entry in evidence.workers.items()
         }
         for name in sorted(weights, key=lambda name: (weights[name], name))[:excess]:
@@ -84,7 +84,7 @@
 
 def list_kinds(table: InterferenceTable) -> set[str]:
     """Return the kinds of all pairs."""
-    return {kind for pair in table.pairs for kind in pair}
+    return {kind for pair in table.pairs for kind in pair[:2]}
 
 
 def has_space(table: InterferenceTable, pair: KindPair, kinds: set[str]) -> bool:
@@ -93,12 +93,14 @@
         return True
     if len(table.pairs) >= PAIR_LIMIT:
         return False
-    return len(kinds) + len(set(pair) - kinds) <= KIND_LIMIT
+    return len(kinds) + len(set(pair[:2]) - kinds) <= KIND_LIMIT
 
 
-def find_weight(evidence: PairEvidence, entry: WorkerEvidence, now: float) -> float:
+def find_weight(
+    pair: KindPair, evidence: PairEvidence, entry: WorkerEvidence, now: float
+) -> float:
     """Return the present weight of a worker's evidence."""
-    half_life = find_half_life(evidence)
+    half_life = find_half_life(pair)
     if evidence.is_known:
         # Kinds that are kept apart give few new samples. With the usual half-life they
         # would soon be placed together again.
@@ -106,9 +108,9 @@
     return decay(entry, half_life, now)
 
 
-def find_half_life(evidence: PairEvidence) -> float:
+def find_half_life(pair: KindPair) -> float:
     """Return the half-life of evidence that new samples compete with."""
-    return TAIL_HALF_LIFE_SECONDS if evidence.is_tail else RATE_HALF_LIFE_SECONDS
+    return TAIL_HALF_LIFE_SECONDS if pair[2] else RATE_HALF_LIFE_SECONDS
 
 
 def decay(entry: WorkerEvidence, half_life: float, now: float) -> float:
--- a/geraniumwell/commands/batch/interference.py
+++ b/geraniumwell/commands/batch/interference.py
@@ -19,8 +19,6 @@
 from geraniumwell.commands.batch.evidence import (
     MIN_STALE_SECONDS,
     MIN_WEIGHT,
-    RATE_WEIGHT,
-    TAIL_WEIGHT,
     add_evidence,
     find_middle,
     find_weight,
@@ -130,7 +128,7 @@
 
 def _evaluate_rates(cluster: Cluster, now: float) -> None:
     table = cluster.interference
-    compared = choose_comparisons(table, list(table.new_rates), now)
+    compared = choose_comparisons(table, list(table.new_rates), False, now)
     table.new_rates.clear()
     if not compared:
         return
@@ -142,14 +140,14 @@
         if (expected := references.find_expected(sample, other)) is not None
         and not references.is_slowed(sample)
     ]
-    _add_deviations(table, deviations, RATE_WEIGHT, now)
+    _add_deviations(table, deviations, False, now)
 
 
 def _evaluate_tails(table: InterferenceTable, now: float) -> None:
     tails = list(table.new_tails)
     table.new_tails.clear()
     record_tails(table, tails, now)
-    compared = choose_comparisons(table, tails, now)
+    compared = choose_comparisons(table, tails, True, now)
     if not compared:
         return
     references = TailReferences(table.tails, now)
@@ -158,7 +156,7 @@
         for sample, other in compared
         if (expected := references.find_expected(sample, other)) is not None
     ]
-    _add_deviations(table, deviations, TAIL_WEIGHT, now)
+    _add_deviations(table, deviations, True, now)
 
 
 def record_tails(
@@ -184,7 +182,7 @@
 
 
 def choose_comparisons(
-    table: InterferenceTable, samples: list[Sample], now: float
+    table: InterferenceTable, samples: list[Sample], is_tail: bool, now: float
 ) -> list[tuple[Sample, str]]:
     """Return a bounded number of samples, each with a neighbour that fits in the table.
 
@@ -198,7 +196,7 @@
         (sample, other)
         for sample in rng.sample(samples, min(SAMPLE_LIMIT, len(samples)))
         for other in sample.neighbours
-        if has_space(table, (sample.kind, other), kinds)
+        if has_space(table, (sample.kind, other, is_tail), kinds)
     ]
     # All samples with a few neighbours, because these share their references.
     others = sorted({other for _, other in found})
@@ -208,15 +206,15 @@
 
 
 def _find_known_effects(
-    table: InterferenceTable, kind: str, neighbours: frozenset[str], other: str
+    table: InterferenceTable, sample: Sample, other: str, is_tail: bool
 ) -> float:
     """Return the effect of the neighbours besides ``other`` that are known."""
     # Without it, a harmless neighbour would be blamed for one that comes with it.
-    if kind not in table.opponents:
+    if sample.kind not in table.opponents:
         return 0.0
     total = 0.0
-    for neighbour in neighbours:
-        evidence = table.pairs.get((kind, neighbour))
+    for neighbour in sample.neighbours:
+        evidence = table.pairs.get((sample.kind, neighbour, is_tail))
         if neighbour != other and evidence is not None and evidence.is_known:
             total += find_middle(evidence)
     return total
@@ -225,26 +223,24 @@
 def _add_deviations(
     table: InterferenceTable,
     deviations: list[tuple[Sample, str, float]],
-    weight: float,
+    is_tail: bool,
     now: float,
 ) -> None:
     """Add deviations of samples from what is expected without a neighbour."""
     found: dict[KindPair, dict[str, list[float]]] = defaultdict(dict)
     for sample, other, deviation in deviations:
-        known = _find_known_effects(table, sample.kind, sample.neighbours, other)
-        by_worker = found[sample.kind, other]
+        known = _find_known_effects(table, sample, other, is_tail)
+        by_worker = found[sample.kind, other, is_tail]
         by_worker.setdefault(sample.worker, []).append(deviation - known)
-    add_evidence(table, found, weight, now)
+    add_evidence(table, found, now)
 
 
-def find_slowdown(
-    table: InterferenceTable, kind: str, other: str, now: float
-) -> Slowdown:
-    """Return the estimated slowdown of tasks of ``kind`` beside those of ``other``."""
-    evidence = table.pairs.get((kind, other))
+def find_slowdown(table: InterferenceTable, pair: KindPair, now: float) -> Slowdown:
+    """Return the estimated slowdown of tasks of a kind beside those of another."""
+    evidence = table.pairs.get(pair)
     if evidence is None or not evidence.workers:
         return Slowdown()
-    weights = [find_weight(evidence, e, now) for e in evidence.workers.values()]
+    weights = [find_weight(pair, evidence, e, now) for e in evidence.workers.values()]
     weight = len(weights) * median_low(weights)
     precision = weight / SAMPLE_VARIANCE + 1 / PAIR_VARIANCE
     effect = find_middle(evidence) * weight / SAMPLE_VARIANCE / precision
@@ -265,7 +261,7 @@
         for name, entry in list(evidence.workers.items()):
             if now - entry.updated_at < MIN_STALE_SECONDS:
                 continue
-            if find_weight(evidence, entry, now) < MIN_WEIGHT:
+            if find_weight(pair, evidence, entry, now) < MIN_WEIGHT:
                 del evidence.workers[name]
         if not evidence.workers and not evidence.is_known:
             del table.pairs[pair]
@@ -286,7 +282,7 @@
         agrees = has_agreement(evidence)
         if not agrees and not evidence.is_known:
             continue
-        found = find_slowdown(table, *pair, now)
+        found = find_slowdown(table, pair, now)
         is_known = found.confidence >= KNOWN_CONFIDENCE and agrees
         if evidence.is_known:
             is_known = found.confidence >= FORGOTTEN_CONFIDENCE
@@ -319,7 +315,7 @@
 def set_opponents(table: InterferenceTable) -> None:
     """Derive from the known pairs which kinds are kept apart."""
     found: dict[str, set[str]] = defaultdict(set)
-    for (kind, other), evidence in table.pairs.items():
+    for (kind, other, _), evidence in table.pairs.items():
         if evidence.is_known:
             found[kind].add(other)
             found[other].add(kind)
--- a/geraniumwell/commands/batch/kinds.py
+++ b/geraniumwell/commands/batch/kinds.py
@@ -7,14 +7,15 @@
 from geraniumwell.model.batch.worker import Worker
 
 # Callers choose the image; a longer name would make the stored table grow.
-KIND_LENGTH_LIMIT = 100
+KIND_BYTES_LIMIT = 100
 # Processor time in thousandths of a core below which a task disturbs no one.
 IDLE_USAGE_MILLIS = 50
 
 
 def find_kind(spec: JobSpec, step: int) -> str:
     """Return the kind of a step's tasks: the image, or else the queue and the step."""
-    return (spec.steps[step].image or f"{spec.queue}/{step}")[:KIND_LENGTH_LIMIT]
+    name = spec.steps[step].image or f"{spec.queue}/{step}"
+    return name.encode()[:KIND_BYTES_LIMIT].decode(errors="ignore")
 
 
 def count_kinds(cluster: Cluster, worker: Worker) -> dict[str, int]:
--- a/geraniumwell/model/batch/interference.py
+++ b/geraniumwell/model/batch/interference.py
@@ -18,8 +18,9 @@
 NEW_RATE_LIMIT = 128
 CHANGE_LIMIT = 64
 
-# Kind of a task, and kind of a neighbour that may slow it down.
-KindPair = tuple[str, str]
+# Kind of a task, kind of a neighbour that may slow it down, and whether the evidence is
+# about tails: rates and tails of one kind aren't comparable.
+KindPair = tuple[str, str, bool]
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,16 +70,12 @@
 
     Parameters
     ----------
-    is_tail : bool
-        Whether the slowed kind has a latency target, so that the evidence is about the
-        tail of its response times.
     workers : dict
         Evidence by worker.
     is_known : bool
         Whether the pair counts as disturbing.
     """
 
-    is_tail: bool
     workers: dict[str, WorkerEvidence] = field(default_factory=dict)
     is_known: bool = False
 
--- a/geraniumwell/queries/batch/interference.py
+++ b/geraniumwell/queries/batch/interference.py
@@ -13,13 +13,12 @@
     ``age`` is the time since the last sample, in seconds.
     """
     rows = []
-    for (kind, other), evidence in table.pairs.items():
-        found = find_slowdown(table, kind, other, now)
+    for pair, evidence in table.pairs.items():
+        found = find_slowdown(table, pair, now)
         rows.append(
             (
-                kind,
-                other,
-                "tail" if evidence.is_tail else "rate",
+                *pair[:2],
+                "tail" if pair[2] else "rate",
                 "disturbs" if evidence.is_known else "unclear",
                 round(found.factor, 2),
                 round(found.confidence, 3),
@@ -28,7 +27,7 @@
                 round(found.age_seconds, 1),
             )
         )
-    rows.sort(key=lambda row: (-row[5], row[:2]))
+    rows.sort(key=lambda row: (-row[5], row[:3]))
     return make_table(COLUMNS, rows)
 
 
--- a/tests/actors/batch/commit_state_steps.py
+++ b/tests/actors/batch/commit_state_steps.py
@@ -11,14 +11,14 @@
 from geraniumwell.model.batch.leader import LeaderRow
 from tests.support.batch import WALL, make_cluster
 
-PAIR = ("a", "b")
+PAIR = ("a", "b", False)
 
 
 @given("evidence of a pair that {state}")
 def step_evidence(context: Context, state: str) -> None:
     context.cluster = make_cluster("r1")
     table = context.cluster.interference
-    add_sample(table, PAIR, "w1", 0.7, 1.0, 0.0)
+    add_sample(table, PAIR, "w1", 0.7, 0.0)
     table.pairs[PAIR].is_known = state == "is known to disturb"
     # The last scheduler stored it while it was known.
     table.is_stored = state.startswith("was")
@@ -31,7 +31,7 @@
     commits = make_commit_state(claim)
     context.seconds = []
     for second in range(1, 13):
-        add_sample(context.cluster.interference, PAIR, "w1", 0.7, 1.0, second)
+        add_sample(context.cluster.interference, PAIR, "w1", 0.7, second)
         sent = begin_transaction(commits, context.cluster, second, WALL + second)
         if INTERFERENCE_KEY in [write.key for write in sent.transaction.writes]:
             context.seconds.append(str(second))
--- a/tests/commands/batch/interference_steps.py
+++ b/tests/commands/batch/interference_steps.py
@@ -8,7 +8,6 @@
 
 from geraniumwell.codec.interference import decode_interference, encode_interference
 from geraniumwell.commands.batch.evidence import (
-    RATE_WEIGHT,
     add_evidence,
     add_sample,
 )
@@ -37,14 +36,14 @@
     submit,
 )
 
-PAIR = ("a", "b")
+PAIR = ("a", "b", False)
 TASKS_PER_WORKER = 8
 ROUND_SECONDS = 10
 
 
 def list_known(context: Context) -> list[str]:
     pairs = context.cluster.interference.pairs
-    return sorted(" ".join(pair) for pair, found in pairs.items() if found.is_known)
+    return sorted(" ".join(pair[:2]) for pair, found in pairs.items() if found.is_known)
 
 
 @when(
@@ -130,8 +129,8 @@
 def step_many_pairs(context: Context, count: int, kinds: int) -> None:
     table, rng = context.cluster.interference, Random(1)
     for number in range(count):
-        pair = (f"k{rng.randrange(kinds)}", f"k{rng.randrange(kinds)}")
-        add_evidence(table, {pair: {"w1": [0.5]}}, RATE_WEIGHT, number / 100)
+        pair = (f"k{rng.randrange(kinds)}", f"k{rng.randrange(kinds)}", False)
+        add_evidence(table, {pair: {"w1": [0.5]}}, number / 100)
         refresh_interference(context.cluster, number / 100)
 
 
@@ -142,7 +141,7 @@
 def step_bounds(context: Context, pairs: int, kinds: int) -> None:
     found = context.cluster.interference.pairs
     assert 0 < len(found) <= pairs
-    assert len({kind for pair in found for kind in pair}) <= kinds
+    assert len({kind for pair in found for kind in pair[:2]}) <= kinds
     refresh_interference(context.cluster, 3700)
     assert not found
 
@@ -181,9 +180,7 @@
         start_on(cluster, make_job(f"of-{name}", step), name)
     for worker in ("w1", "w2", "w3") * 6:
         for measured_at in (-13.0, 3.0):
-            add_sample(
-                cluster.interference, PAIR, worker, 0.7, RATE_WEIGHT, measured_at
-            )
+            add_sample(cluster.interference, PAIR, worker, 0.7, measured_at)
     run_plan(cluster, 3.0)
     assert list_known(context) == ["a b"]
 
@@ -227,9 +224,9 @@
     rng, cluster = Random(1), make_cluster("r1 r1 r2 r2 r3 r3")
     images = [f"k{number}" for number in range(8)]
     if has_evidence:
-        for pair in [(kind, other) for kind in images for other in images]:
+        for pair in [(kind, other, False) for kind in images for other in images]:
             for worker in ("w1", "w2", "w3"):
-                add_sample(cluster.interference, pair, worker, 0, RATE_WEIGHT, 0.1)
+                add_sample(cluster.interference, pair, worker, 0, 0.1)
     found = []
     for number in range(30):
         step = make_step(
