Count kinds in the round in which a pair becomes known; guard more of the part

Cause: opponents were set in the round of the evaluation, but the kinds of tasks on the workers were counted one round later.

Change: the evaluation comes before the index of the round. The takeover goes through a stored row; three scenarios and two assertions are new.

--- a/geraniumwell/commands/batch/indexing.py
+++ b/geraniumwell/commands/batch/indexing.py
@@ -46,13 +46,14 @@
     )
     fleet.evacuated_data_centres = cluster.evacuated_data_centres
     changed.update(_list_workers(cluster, affected))
+    if refresh_interference(cluster, now):
+        # Kinds are counted only while some are kept apart, so all workers are indexed
+        # again in the round in which that changes.
+        changed.update(cluster.workers)
     for name in sorted(changed):
         _rebuild(cluster, name, now)
     changed.clear()
     refresh_slow_workers(cluster, now)
-    if refresh_interference(cluster, now):
-        # Their kinds are counted only while some are kept apart.
-        changed.update(cluster.workers)
     for pool in fleet.pools.values():
         pool.opponents = cluster.interference.opponents
         if pool.is_stale:
--- a/tests/commands/batch/interference.feature
+++ b/tests/commands/batch/interference.feature
@@ -50,6 +50,18 @@
       | 0     |            |
       | None  | b          |
 
+  # Guards against tails that are not measured, or beside the wrong neighbours.
+  Scenario: A tail is measured beside the tasks that work there
+    Given workers in the racks "r1"
+    When "x" of the image "web" reports a tail beside "y" of the image "b"
+    Then the tail of "web" is 2 of the target beside "b"
+
+  # Guards against blaming a harmless kind that comes with one that disturbs.
+  Scenario: A neighbour that comes with a known one isn't blamed
+    Given workers in the racks "r1 r1 r1 r1 r1 r1 r1 r1"
+    When "web" with the known pair "web f" has tails beside "f" and "g" and beside "f"
+    Then the pairs that became known are "web f"
+
   # Guards against a separation that is not done, or that costs a start.
   Scenario Outline: A task avoids its opponents where as much else is free
     Given workers in the racks "<racks>"
@@ -64,6 +76,13 @@
       | r1 r1 | 14    | 7      |
       | r1    | 7     | 7      |
 
+  # Guards against opponents that are started together in one round.
+  Scenario: Tasks that start in one round avoid each other
+    Given workers in the racks "r1 r1"
+    And a task of the image "b" on the worker "w1", of "c" on the others, and "a b"
+    When a task of "a" and then one of "b" are placed in one round
+    Then they are started on "w2 w1"
+
   # Guards against a task without accelerators that takes the last free worker from one
   # that needs much processor time.
   Scenario: Tasks without accelerators stay on the least free worker
--- a/tests/commands/batch/interference_steps.py
+++ b/tests/commands/batch/interference_steps.py
@@ -6,23 +6,27 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from geraniumwell.codec.interference import decode_interference, encode_interference
+from geraniumwell.actors.batch.row_applier import RowApplier
+from geraniumwell.clients.table import StoredRow
+from geraniumwell.codec.interference import encode_interference
 from geraniumwell.commands.batch.evidence import (
     add_evidence,
     add_sample,
 )
 from geraniumwell.commands.batch.interference import (
+    observe_report,
     refresh_interference,
-    restore_pairs,
 )
+from geraniumwell.commands.batch.kinds import KIND_BYTES_LIMIT, find_kind
 from geraniumwell.commands.batch.speeds import derive_speeds, drop_old_samples
+from geraniumwell.const import INTERFERENCE_KEY
 from geraniumwell.model.batch.cluster import Cluster, StartTask
 from geraniumwell.model.batch.interference import TailSample
 from geraniumwell.model.batch.job import StepSpec
 from geraniumwell.model.batch.resources import Resources
 from geraniumwell.model.batch.speed import RateSample
 from geraniumwell.model.batch.speed import add_sample as add_rate_sample
-from geraniumwell.model.batch.worker import RunningTask
+from geraniumwell.model.batch.worker import RunningTask, WorkerReport
 from geraniumwell.queries.batch.interference import show_interference
 from tests.support.batch import (
     WALL,
@@ -142,6 +146,8 @@
     found = context.cluster.interference.pairs
     assert 0 < len(found) <= pairs
     assert len({kind for pair in found for kind in pair[:2]}) <= kinds
+    spec = make_job("long", make_step(image="é" * 100))
+    assert len(find_kind(spec, 0).encode()) <= KIND_BYTES_LIMIT
     refresh_interference(context.cluster, 3700)
     assert not found
 
@@ -183,6 +189,8 @@
             add_sample(cluster.interference, PAIR, worker, 0.7, measured_at)
     run_plan(cluster, 3.0)
     assert list_known(context) == ["a b"]
+    # Placement in the same round already depends on the counted kinds.
+    assert cluster.fleet.capacities["w1"].kinds == {"b": 1}
 
 
 @when('{count:d} tasks of the image "a" are placed')
@@ -193,6 +201,56 @@
     ]
 
 
+@when('a task of "a" and then one of "b" are placed in one round')
+def step_place_two(context: Context) -> None:
+    for name in "ab":
+        submit(context.cluster, make_job(name, make_step(image=name)))
+    context.orders = run_plan(context.cluster, 4.0)
+
+
+@then('they are started on "{names}"')
+def step_workers(context: Context, names: str) -> None:
+    found = [order.worker for order in context.orders]
+    assert found == names.split(), found
+
+
+@when('"x" of the image "web" reports a tail beside "y" of the image "b"')
+def step_report_tail(context: Context) -> None:
+    cluster = context.cluster
+    steps = make_step(image="web", target_ms=100), make_step(image="b")
+    tasks = [
+        start_on(cluster, make_job(name, step), "w1")
+        for name, step in zip("xy", steps, strict=True)
+    ]
+    running = tuple(RunningTask(t.id, t.run, "", 50, 200) for t in tasks)
+    observe_report(
+        cluster, cluster.workers["w1"], WorkerReport(3000, running, (), 1, False), 2.0
+    )
+
+
+@then('the tail of "web" is {share:g} of the target beside "b"')
+def step_tail(context: Context, share: float) -> None:
+    expected = TailSample("web", "w1", frozenset({"b"}), log(share), 2.0)
+    assert list(context.cluster.interference.new_tails) == [expected]
+
+
+@when('"web" with the known pair "web f" has tails beside "f" and "g" and beside "f"')
+def step_both(context: Context) -> None:
+    """Report tails that double beside "f", which is on most workers with "g"."""
+    rng, table = Random(1), context.cluster.interference
+    known = {"w1": [0.7], "w2": [0.7], "w3": [0.7]}
+    for now in range(60):
+        if now < 10:
+            add_evidence(table, {("web", "f", True): known}, now)
+        for number, name in enumerate(context.cluster.workers):
+            # Without "g", "f" comes in one of three cases.
+            phase = (number + now // 3) % 4
+            others = frozenset(("", "fg", "fg", "fg")[phase])
+            share = log(0.5) + (log(2) if phase else 0) + rng.uniform(-0.1, 0.1)
+            table.new_tails.append(TailSample("web", name, others, share, now))
+        refresh_interference(context.cluster, now)
+
+
 @then('all {count:d} are started, and {beside:d} of them on "w1"')
 def step_placed(context: Context, count: int, beside: int) -> None:
     found = [order.worker for order in context.orders if isinstance(order, StartTask)]
@@ -256,9 +314,10 @@
 def step_takeover(context: Context, seconds: float) -> None:
     cluster: Cluster = context.cluster
     data = encode_interference(cluster.interference, 3.0, WALL)
-    pairs = decode_interference(data, 3.0, WALL + seconds)
     cluster.interference = type(cluster.interference)()
-    restore_pairs(cluster.interference, pairs)
+    rows = (StoredRow("gw-control", INTERFERENCE_KEY, data, 1),)
+    applier = RowApplier(cluster, decode_entry=None)
+    applier.restore_interference(rows, 3.0, WALL + seconds)
     for name in cluster.workers:
         cluster.mark_worker_changed(name)
 
