--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -12,6 +12,8 @@
 REPORTS = ROOT / "build" / "reports"
 # Integration tests mostly wait, so more processes than cores still leave idle time.
 MAX_PROCESSES = 6
+# Features that measure a process under load run one at a time, after all others.
+ALONE_TAG = "@alone"
 
 
 def find_features(names: list[str]) -> list[Path]:
@@ -52,8 +54,11 @@
     for old_report in REPORTS.iterdir():
         old_report.unlink()
     features = find_features(sys.argv[1:] or ["tests"])
+    alone = [path for path in features if path.read_text().startswith(ALONE_TAG)]
     with ThreadPoolExecutor(MAX_PROCESSES) as pool:
-        list(pool.map(run_feature, features))
+        list(pool.map(run_feature, [path for path in features if path not in alone]))
+    for path in alone:
+        run_feature(path)
     verdict_command = [
         sys.executable,
         "script/verdict.py",
--- a/tests/support/batch_processes.py
+++ b/tests/support/batch_processes.py
@@ -35,6 +35,7 @@
     stores: dict[str, str] = field(default_factory=dict)
     proxies: dict[str, TcpProxy] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
+    extra_settings: dict[str, Any] = field(default_factory=dict)
     is_proxied: bool = False
     version: int = 0
 
@@ -109,6 +110,7 @@
             "data_centre": "dc-1",
             "store": self.stores.get(name, self.store_address),
             **addresses,
+            **self.extra_settings,
         }
 
     def start_worker(self, name: str, seconds: float = 0.6) -> None:
@@ -215,17 +217,19 @@
     proxied: tuple[str, ...] = (),
     is_proxied: bool = False,
     folder: Path | None = None,
+    settings: dict[str, Any] | None = None,
 ) -> Installation:
     """Start store, workers and daemons, and wait until jobs are accepted.
 
     The ``proxied`` daemons reach the store through a proxy that can be cut. With
     ``is_proxied`` all daemons do; workers also have proxies, and slow clocks, and the
-    daemons write their logs to files.
+    daemons write their logs to files. ``settings`` are added to those of each daemon.
     """
     folder = folder or Path(tempfile.mkdtemp(prefix="geraniumwell-"))
     port = find_free_port()
     store = Process(["-m", "stand_ins.table_store", str(port), "1"])
     installation = Installation(folder, store, store.address, is_proxied=is_proxied)
+    installation.extra_settings = settings or {}
     if is_proxied:
         proxied = tuple(f"d{number}" for number in range(1, daemons + 1))
     for name in proxied:
