--- /dev/null
+++ b/geraniumwell/commands/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about connections and requests that are not complete."""
--- /dev/null
+++ b/tests/commands/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bounds on unfinished requests."""
