Bound what clients take from a daemon of serve-platform

Cause: the servers for clients and for monitoring kept every unfinished request in memory until its connection had been silent for 120 s. A client that sent a byte now and then was never closed, and idle connections used up descriptors.

Change: IntakeServer (waitress's server, channel and parser as base classes) reserves memory before it reads, evicts the requests with the least progress, and closes requests that are not complete within request_seconds. A body to an unknown path, without a known key or over MaxBodyBytes is refused before it is read. IntakeLoop waits by epoll and handles 32 events a turn. Small chunks are parsed in one loop; decoded bytes count against the limit of a body, not the framing.

Ruled out: reserving the announced length of a body (a head alone would then hold the budget), and a lower connection limit (idle connections would shut out everybody).

--- /dev/null
+++ b/geraniumwell/actors/intake/loop.py
@@ -0,0 +1,128 @@
+"""Loop that owns the sockets of a process's servers for one kind of client."""
+
+from collections.abc import Callable
+from select import EPOLLIN, EPOLLOUT, EPOLLPRI, epoll
+from threading import Event
+from time import monotonic
+from typing import Any, Final
+
+from waitress.wasyncore import readwrite
+
+# Also the longest time by which a time limit is checked late.
+TURN_SECONDS: Final = 1.0
+# Events handled in one turn. The system returns ready sockets in rotation, so each is
+# reached within a few turns.
+TURN_EVENTS: Final = 32
+# Longest time that one turn counts for. A process that was paused for longer must not
+# close connections whose bytes arrived meanwhile.
+MAX_TURN_SECONDS: Final = 2.0
+# Longest pause after a full turn.
+MAX_PAUSE_SECONDS: Final = 0.05
+
+
+class IntakeLoop:
+    """Waits for events on sockets and passes them to their owners in short turns.
+
+    All methods but the constructor run in the thread of ``run``.
+
+    Attributes
+    ----------
+    sockets : dict
+        Owners of all sockets by descriptor, as waitress expects it. The loop ends when
+        it is empty.
+    now : float
+        Time of the current turn, without the times for which the process was paused.
+    """
+
+    __slots__ = (
+        "_after_turn",
+        "_epoll",
+        "_flags",
+        "_pause",
+        "_touched",
+        "_turn_at",
+        "now",
+        "sockets",
+    )
+
+    def __init__(self) -> None:
+        self.sockets: dict[int, Any] = {}
+        self._epoll = epoll()
+        self._flags: dict[int, int] = {}
+        self._touched: set[int] = set()
+        self._after_turn: list[Callable[[], None]] = []
+        self._turn_at = self.now = monotonic()
+        self._pause = Event()
+
+    def call_after_turns(self, function: Callable[[], None]) -> None:
+        """Call a function after each turn."""
+        self._after_turn.append(function)
+
+    def touch(self, fd: int) -> None:
+        """Note that the owner of a socket may wait for other events than before."""
+        self._touched.add(fd)
+
+    def forget(self, fd: int) -> None:
+        """Stop waiting for a socket that is about to be closed."""
+        self._touched.discard(fd)
+        if self._flags.pop(fd, 0):
+            self._epoll.unregister(fd)
+
+    def run(self) -> None:
+        """Handle events until no socket is left."""
+        self._touched.update(self.sockets)
+        while self.sockets:
+            self._update_interest()
+            events = self._epoll.poll(TURN_SECONDS, TURN_EVENTS)
+            begin = monotonic()
+            self.now += min(begin - self._turn_at, MAX_TURN_SECONDS)
+            self._turn_at = begin
+            self._handle(events)
+            for function in self._after_turn:
+                function()
+            if len(events) == TURN_EVENTS:
+                # Leaves half of the processor to the other threads under any load.
+                self._pause.wait(min(monotonic() - begin, MAX_PAUSE_SECONDS))
+        self._epoll.close()
+
+    def _handle(self, events: list[tuple[int, int]]) -> None:
+        # A descriptor that is closed may be in use again within the same turn.
+        owners = [(fd, flags, self.sockets.get(fd)) for fd, flags in events]
+        for fd, flags, owner in owners:
+            if owner is None or self.sockets.get(fd) is not owner:
+                continue
+            self._touched.add(fd)
+            readwrite(owner, flags)
+
+    def _update_interest(self) -> None:
+        touched, self._touched = self._touched, set()
+        for fd in touched:
+            owner = self.sockets.get(fd)
+            if owner is None:
+                self.forget(fd)
+                continue
+            self._wait_for(fd, _find_flags(owner))
+
+    def _wait_for(self, fd: int, flags: int) -> None:
+        before = self._flags.get(fd, 0)
+        if flags == before:
+            return
+        if not flags:
+            # The end of a connection is reported for every registered socket, again
+            # and again, so one without interest is not registered.
+            self._epoll.unregister(fd)
+            del self._flags[fd]
+            return
+        if before:
+            self._epoll.modify(fd, flags)
+        else:
+            self._epoll.register(fd, flags)
+        self._flags[fd] = flags
+
+
+def _find_flags(owner: Any) -> int:
+    flags = EPOLLIN | EPOLLPRI if owner.readable() else 0
+    # Listening sockets are never writable.
+    if not owner.accepting and owner.writable():
+        flags |= EPOLLOUT
+    return flags
--- /dev/null
+++ b/geraniumwell/actors/intake/parser.py
@@ -0,0 +1,142 @@
+"""Request parser of waitress with work and memory that grow with the bytes only."""
+
+from re import compile as compile_pattern
+from typing import Any, Final
+
+from waitress.parser import HTTPRequestParser
+from waitress.receiver import ChunkedReceiver
+from waitress.utilities import (
+    BadRequest,
+    RequestEntityTooLarge,
+    RequestHeaderFieldsTooLarge,
+)
+
+HEAD_END: Final = b"\r\n\r\n"
+# Each header becomes an entry of a dict, and repeated ones are joined again and again.
+MAX_HEADER_LINES: Final = 128
+# Line with the size of a chunk and its extensions.
+MAX_CHUNK_LINE_BYTES: Final = 1_024
+# Chunks that are complete in one read are parsed in a short loop; all others, and all
+# errors, by waitress.
+SMALL_CHUNK: Final = compile_pattern(rb"([0-9a-fA-F]{1,4})\r\n")
+# Text and bytes of a head, entries of its dict and the environment of the call.
+HEAD_COST: Final = 4
+# BytesIO allocates an eighth more than it holds.
+BODY_COST: Final = 1.25
+
+
+class BoundedChunkedReceiver(ChunkedReceiver):
+    """Receiver of a chunked body with bounded lines and trailer."""
+
+    max_trailer = 0
+
+    def received(self, s: bytes) -> int:
+        """Consume data; return the number of bytes consumed."""
+        done = 0
+        if not (
+            self.chunk_remainder
+            or self.validate_chunk_end
+            or self.control_line
+            or self.all_chunks_received
+        ):
+            done = self._receive_small_chunks(s)
+        if done < len(s):
+            done += super().received(s[done:])
+        if len(self.control_line) > MAX_CHUNK_LINE_BYTES:
+            self.error = BadRequest("Chunk size line too long")
+        elif len(self.trailer) > self.max_trailer:
+            self.error = RequestHeaderFieldsTooLarge("trailer too long")
+        return done
+
+    def _receive_small_chunks(self, data: bytes) -> int:
+        """Append all chunks that are complete; return the number of bytes consumed."""
+        pieces: list[bytes] = []
+        begin = 0
+        match_size = SMALL_CHUNK.match
+        while found := match_size(data, begin):
+            size = int(found[1], 16)
+            first = found.end()
+            last = first + size
+            if size == 0 or data[last : last + 2] != b"\r\n":
+                break
+            pieces.append(data[first:last])
+            begin = last + 2
+        if pieces:
+            self.buf.append(b"".join(pieces))
+        return begin
+
+
+class BoundedParser(HTTPRequestParser):
+    """Parser of one request that bounds heads, lines, trailers and decoded bodies.
+
+    ``adj`` has the limit of the head; that of the body is ``body_limit``, which may be
+    lowered once the head is known. waitress counts the framing of chunks as well, which
+    would refuse a legal body in chunks of one byte.
+    """
+
+    body_limit = 0
+
+    def __init__(self, adj: Any) -> None:
+        super().__init__(adj)
+        self._head = bytearray()
+        self._head_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes, estimated from above."""
+        held = len(self._head) + self._head_bytes * HEAD_COST
+        receiver = self.body_rcv
+        if receiver is None:
+            return held
+        held += int(len(receiver) * BODY_COST)
+        if self.chunked:
+            held += len(receiver.control_line) + len(receiver.trailer)
+        return held
+
+    def received(self, data: bytes) -> int:
+        """Consume data; return the number of bytes consumed."""
+        if self.body_rcv is not None:
+            return self._receive_body(data)
+        before = len(self._head)
+        self._head += data
+        # Only new bytes are searched, because a head may arrive byte by byte.
+        end = self._head.find(HEAD_END, max(0, before - len(HEAD_END) + 1))
+        if end < 0 and len(self._head) < self.adj.max_request_header_size:
+            return len(data)
+        head, self._head = bytes(self._head), bytearray()
+        if head.count(b"\n", 0, end if end >= 0 else None) > MAX_HEADER_LINES:
+            return self._refuse_head(data)
+        consumed = super().received(head)
+        self._head_bytes = consumed
+        if self.body_rcv is not None:
+            self._bound_body()
+        return consumed - before
+
+    def _refuse_head(self, data: bytes) -> int:
+        self.parse_header(b"GET / HTTP/1.0\r\n")
+        self.error = RequestHeaderFieldsTooLarge("too many header lines")
+        self.completed = True
+        return len(data)
+
+    def lower_body_limit(self, size: int) -> bool:
+        """Lower the limit of the body; return False if it is known to be larger."""
+        self.body_limit = min(self.body_limit, size)
+        return self.content_length <= self.body_limit
+
+    def _bound_body(self) -> None:
+        if self.chunked:
+            receiver = BoundedChunkedReceiver(self.body_rcv.getbuf())
+            receiver.max_trailer = self.adj.max_request_header_size
+            self.body_rcv = receiver
+        elif self.content_length > self.body_limit:
+            self._refuse_body()
+
+    def _refuse_body(self) -> None:
+        self.error = RequestEntityTooLarge(f"exceeds max_body of {self.body_limit}")
+        self.completed = True
+
+    def _receive_body(self, data: bytes) -> int:
+        consumed = super().received(data)
+        if len(self.body_rcv) > self.body_limit:
+            self._refuse_body()
+        return consumed
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -8,7 +8,6 @@
 
 from prometheus_client import REGISTRY, generate_latest
 from pykka import ActorDeadError, ActorRef, ActorRegistry, Timeout
-from waitress.server import create_server
 
 from geraniumwell.actors.batch.catalog_manager import CatalogManager
 from geraniumwell.actors.batch.elector import Elector
@@ -19,7 +18,8 @@
 from geraniumwell.actors.batch.store_relay import StoreRelay
 from geraniumwell.actors.batch.table_feed import TableFeed
 from geraniumwell.actors.batch.worker_connection_pool import WorkerConnectionPool
-from geraniumwell.actors.draining_server import DrainingServer
+from geraniumwell.actors.intake.loop import IntakeLoop
+from geraniumwell.actors.intake.server import IntakeOptions, IntakeServer
 from geraniumwell.actors.ticker import Ticker
 from geraniumwell.clients.table import TableClient
 from geraniumwell.clients.table_relay import (
@@ -30,6 +30,7 @@
 )
 from geraniumwell.clients.timeout_estimator import MAX_TIMEOUT_SECONDS, TimeoutEstimator
 from geraniumwell.commands.batch.leadership import make_holder_id
+from geraniumwell.commands.intake.limits import derive_limits, split_limits
 from geraniumwell.exceptions import SettingsError
 from geraniumwell.helpers.event_log import EVENT_LOG
 from geraniumwell.messages.batch import (
@@ -40,12 +41,14 @@
 )
 from geraniumwell.model.batch.cluster import BatchPolicy
 from geraniumwell.model.batch.peer import Peer
+from geraniumwell.model.intake import IntakeLimits
 from geraniumwell.platform.client_app import ClientApp
 from geraniumwell.platform.decode import (
     decode_catalog,
     decode_entry,
     parse_evacuation,
 )
+from geraniumwell.platform.head_check import CatalogForwarder, HeadCheck
 from geraniumwell.platform.settings import (
     PlatformSettings,
     list_changed_settings,
@@ -68,7 +71,8 @@
 # Client connections, files, and calls to the store and from the other daemons.
 RESERVED_DESCRIPTORS: Final = CONNECTION_LIMIT + 600
 MIN_WORKER_CONNECTIONS: Final = 100
-BODY_LIMIT_BYTES: Final = 1_048_576
+# Largest body before the limit of the configuration is known.
+MAX_BODY_BYTES: Final = 1_048_575
 # The load balancer checks once a second and needs two failed checks.
 STOP_NOTICE_SECONDS: Final = 2.2
 # Client calls take up to about 2 s while the store does not answer.
@@ -132,7 +136,7 @@
         "_is_stopping",
         "_path",
         "_relay",
-        "_monitoring_server",
+        "_monitoring_loop",
         "_ticker",
         "_wake_read",
         "wake_fd",
@@ -177,13 +181,11 @@
         )
         feed.tell(WatchTable(None))
         jobs = JobStore(deps.make_store, health)
-        self._server = make_client_server(cfg, ClientApp(jobs, manager, self._elector))
-        self._monitoring_server = create_server(
-            MonitoringApp(manager, self._is_stopping),
-            listen=f"{cfg.readiness} {cfg.metrics}",
-            threads=1,
-            asyncore_use_poll=True,
-            ident=None,
+        self._server = make_client_server(
+            cfg, ClientApp(jobs, manager, self._elector), manager
+        )
+        self._monitoring_loop = make_monitoring_loop(
+            cfg, MonitoringApp(manager, self._is_stopping)
         )
         self._client_thread = Thread(
             target=self._server.run, name="callers", daemon=True
@@ -194,7 +196,7 @@
         self._ticker.start()
         self._relay.start()
         self._client_thread.start()
-        Thread(target=self._monitoring_server.run, name="side", daemon=True).start()
+        Thread(target=self._monitoring_loop.run, name="side", daemon=True).start()
         EVENT_LOG.write("daemon_started", vm=self._cfg.vm, callers=self._cfg.callers)
         while not self._is_stopping.is_set():
             os.read(self._wake_read, WAKE_BYTES)
@@ -239,21 +241,43 @@
         ActorRegistry.stop_all(block=False)
 
 
-def make_client_server(cfg: PlatformSettings, app: ClientApp) -> DrainingServer:
-    """Return the HTTP server for clients."""
-    return DrainingServer(
-        app,
-        listen=cfg.callers,
-        threads=CLIENT_THREADS,
-        connection_limit=CONNECTION_LIMIT,
-        max_request_body_size=BODY_LIMIT_BYTES,
-        inbuf_overflow=BODY_LIMIT_BYTES * 2,
-        asyncore_use_poll=True,
-        clear_untrusted_proxy_headers=False,
-        ident=None,
+def make_limits(cfg: PlatformSettings) -> tuple[IntakeLimits, IntakeLimits]:
+    """Return the limits of the server for clients and of each one for monitoring."""
+    return split_limits(
+        derive_limits(
+            cfg.memory_mb,
+            cfg.descriptors,
+            CONNECTION_LIMIT,
+            cfg.request_seconds,
+            MAX_BODY_BYTES,
+        )
     )
 
 
+def make_client_server(
+    cfg: PlatformSettings, app: ClientApp, catalog_manager: ActorRef
+) -> IntakeServer:
+    """Return the HTTP server for clients, which follows the configuration."""
+    limits, _ = make_limits(cfg)
+    head_check = HeadCheck(limits.body_bytes)
+    options = IntakeOptions("clients", limits, CLIENT_THREADS, head_check.check)
+    server = IntakeServer(app, cfg.callers, options)
+    forwarder = CatalogForwarder.start(
+        lambda catalog: server.request_call(lambda: head_check.set_catalog(catalog))
+    )
+    catalog_manager.tell(SubscribeCatalog(forwarder))
+    return server
+
+
+def make_monitoring_loop(cfg: PlatformSettings, app: MonitoringApp) -> IntakeLoop:
+    """Return the loop of the servers for readiness checks and metrics."""
+    _, limits = make_limits(cfg)
+    loop = IntakeLoop()
+    for name, address in (("readiness", cfg.readiness), ("metrics", cfg.metrics)):
+        IntakeServer(app, address, IntakeOptions(name, limits, 1), loop)
+    return loop
+
+
 def make_store(
     cfg: PlatformSettings,
     directory: PeerDirectory,
--- a/geraniumwell/platform/settings.py
+++ b/geraniumwell/platform/settings.py
@@ -34,6 +34,10 @@
         Speed of that core relative to a reference core.
     descriptors : int
         Limit of open file descriptors of the daemon.
+    memory_mb : int
+        Memory of the VM; the budget of unfinished requests is derived from it.
+    request_seconds : float
+        Time in which a request has to arrive. Clients wait 3 s for a response.
     """
 
     vm: str
@@ -49,6 +53,8 @@
     processor_share: Annotated[float, Meta(gt=0)] = 1.0
     core_speed: Annotated[float, Meta(gt=0)] = 1.0
     descriptors: Annotated[int, Meta(gt=0)] = 4_100
+    memory_mb: Annotated[int, Meta(gt=0)] = 160
+    request_seconds: Annotated[float, Meta(ge=1)] = 10.0
     log_level: str = "INFO"
 
 
--- /dev/null
+++ b/tests/actors/intake/server.feature
@@ -0,0 +1,58 @@
+Feature: A server bounds what its clients may take, and serves ordinary ones
+
+  The server has a budget of 1 MiB, 20 connections, and closes a request after 1 second.
+
+  Background:
+    Given a server with these limits
+
+  # Guards against bounds that change the service of ordinary clients.
+  Scenario: Requests in any pieces on one connection are answered
+    When a client sends 3 requests on one connection, byte by byte
+    Then it gets 3 responses with status 200
+
+  # Guards against pipelined requests that are lost, reordered or held in any number.
+  Scenario: Pipelined requests are answered in order, one at a time
+    When a client sends 50 requests at once on one connection
+    Then it gets 50 responses with status 200
+    And the responses come in the order of the requests
+
+  # Guards against a body that is read although its request can't be served.
+  Scenario Outline: A request is refused before its body is read
+    When a client sends only the head of a request <what>
+    Then it gets 1 response with status <status>
+    And its connection is closed after that
+    And the application was not called
+
+    Examples:
+      | what                         | status |
+      | to a refused path            | 404    |
+      | with a body over the limit   | 413    |
+      | with a body over its limit   | 413    |
+
+  # Guards against a response that is lost because the connection was reset.
+  Scenario: A client that is still sending can read its refusal
+    When a client sends 500000 bytes to a refused path
+    Then it gets 1 response with status 404
+
+  Scenario: A client that waits for permission to send its body gets it
+    When a client asks for permission to send a body of 10 bytes
+    Then it is told to continue, and its request is answered with status 200
+
+  # Guards against an incomplete request that ends without a response.
+  Scenario: A request that stops arriving is refused after its time
+    When a client sends only the head of a request with a body
+    Then it gets 1 response with status 408
+    And its connection is closed after that
+    And the application was not called
+
+  # Guards against a response that a client never reads.
+  Scenario: A connection whose response is not read is closed
+    When a client reads nothing of a response of 8000000 bytes
+    Then its connection is closed by the server
+
+  # Guards against a stopping server that waits for incomplete requests.
+  Scenario: A stopping server ends its idle connections
+    Given a client with an idle connection
+    When the server is asked to drain
+    Then its connection is closed after that
+    And the loop of the server ends
