Use the bounded server for callers and operators of serve, bound TLS requests

Cause: the servers of serve kept unfinished requests in memory without a bound by the size of the VM; a TLS client that sent a byte every 30 s occupied one of 8 threads, and connections waited for a thread in any number.

Change: callers and operators use IntakeServer. Requests to unknown paths or without a known token are refused before their body is read, with the headers of other refusals. TLS requests have one time in total and a bounded size, and connections beyond the limit are closed. New settings limits.memory_mb, descriptors and request_seconds, checked at the start. DrainingServer is part of IntakeServer now.

The client load was not run against these servers in this commit.

Conclusion: all HTTP servers share the decisions.

--- a/geraniumwell/actors/caller_server.py
+++ b/geraniumwell/actors/caller_server.py
@@ -9,7 +9,8 @@
 from waitress.task import ErrorTask
 from waitress.utilities import InternalServerError
 
-from geraniumwell.actors.draining_server import DrainingChannel, DrainingServer
+from geraniumwell.actors.intake.channel import IntakeChannel
+from geraniumwell.actors.intake.server import IntakeOptions, IntakeServer
 from geraniumwell.codec.http import (
     answer_readiness,
     answer_tickets,
@@ -23,6 +24,7 @@
     refuse_error,
     render_head,
 )
+from geraniumwell.commands.intake.serve_limits import derive_server_limits
 from geraniumwell.const import (
     ATTR_CODE,
     ATTR_OUTCOME,
@@ -38,6 +40,13 @@
     ReadReadiness,
     SubmitRequest,
 )
+from geraniumwell.model.intake import (
+    BodyAccepted,
+    BodyRefused,
+    HeadVerdict,
+    RefusalReason,
+    RequestHead,
+)
 from geraniumwell.model.request import Answer, Outcome, RefusalCode
 from geraniumwell.model.settings import Settings
 from geraniumwell.util.clock import monotonic_seconds
@@ -46,8 +55,14 @@
 # The dispatcher answers by the deadline; no reply after this time means a failure.
 REPLY_GRACE_SECONDS = 2.0
 QUERY_SECONDS = 5.0
-# The listening socket and the wake-up pipe of waitress count as connections too.
-OWN_CHANNELS = 2
+# Routes that need no token.
+OPEN_ROUTES = frozenset({"healthz", "readyz"})
+CODE_BY_REASON = {
+    RefusalReason.MEMORY: RefusalCode.OVERLOADED,
+    RefusalReason.CONNECTIONS: RefusalCode.OVERLOADED,
+    RefusalReason.REQUEST_TIME: RefusalCode.DEADLINE_EXPIRED,
+    RefusalReason.BODY_SIZE: RefusalCode.BODY_TOO_LARGE,
+}
 # Time for callers that have sent only part of a request to send the rest.
 PARTIAL_REQUEST_SECONDS = 2.0
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -67,9 +82,10 @@
         Counts requests that are refused before they reach the dispatcher.
     """
 
-    __slots__ = ("_dispatcher", "_organisations", "metrics")
+    __slots__ = ("_body_bytes", "_dispatcher", "_organisations", "metrics")
 
     def __init__(self, cfg: Settings, dispatcher: ActorRef, metrics: Metrics) -> None:
+        self._body_bytes = cfg.limits.body_bytes - 1
         self._dispatcher = dispatcher
         self.metrics = metrics
         self._organisations = {t.token: t.organisation for t in cfg.caller_tokens}
@@ -82,6 +98,30 @@
         start_response(*render_head(answer))
         return [answer.body]
 
+    def check_head(self, head: RequestHead) -> HeadVerdict:
+        """Return whether the body of a request may be read."""
+        environ = {f"HTTP_{name}": value for name, value in head.headers.items()}
+        try:
+            route = find_route(head.method, head.path)
+            if route.name not in OPEN_ROUTES:
+                read_organisation(environ, self._organisations)
+        except CallerError as exc:
+            headers = self._list_headers(RefusalCode(exc.code))
+            return BodyRefused(exc.status, RefusalReason.ACCESS, headers)
+        return BodyAccepted(self._body_bytes)
+
+    def list_headers(self, reason: RefusalReason) -> tuple[tuple[str, str], ...]:
+        """Return the headers of a refusal that the server itself sends; count it."""
+        return self._list_headers(CODE_BY_REASON[reason])
+
+    def _list_headers(self, code: RefusalCode) -> tuple[tuple[str, str], ...]:
+        self.metrics.count_refusal(code)
+        return (
+            (ATTR_REQUEST_ID, make_request_id()),
+            (ATTR_OUTCOME, Outcome.NOT_RUN.value),
+            (ATTR_CODE, code.value),
+        )
+
     def _answer(self, environ: dict[str, Any]) -> Answer:
         try:
             request_id = read_request_id(environ)
@@ -160,17 +200,15 @@
         super().execute()
 
 
-class CallerChannel(DrainingChannel):
+class CallerChannel(IntakeChannel):
     """Connection of one caller."""
 
-    __slots__ = ()
     error_task_class = CallerErrorTask
 
 
-class CallerWsgiServer(DrainingServer):
+class CallerWsgiServer(IntakeServer):
     """Server whose own refusals carry the headers that all responses carry."""
 
-    __slots__ = ()
     channel_class = CallerChannel
 
 
@@ -210,16 +248,10 @@
 
 def make_server(cfg: Settings, app: CallerApp) -> CallerWsgiServer:
     """Return the waitress server for callers."""
+    limits, _ = derive_server_limits(cfg.limits)
+    options = IntakeOptions(
+        "callers", limits, limits.connections, app.check_head, app.list_headers
+    )
     return CallerWsgiServer(
-        app,
-        listen=cfg.listen.callers,
-        threads=cfg.limits.connections,
-        connection_limit=cfg.limits.connections + OWN_CHANNELS,
-        max_request_body_size=cfg.limits.body_bytes,
-        # VMs have no disks, so bodies must never overflow into a file.
-        inbuf_overflow=cfg.limits.body_bytes * 2,
-        outbuf_overflow=RESPONSE_LIMIT_BYTES * 2,
-        asyncore_use_poll=True,
-        clear_untrusted_proxy_headers=False,
-        ident=None,
+        app, cfg.listen.callers, options, outbuf_overflow=RESPONSE_LIMIT_BYTES * 2
     )
--- a/geraniumwell/actors/intake/channel.py
+++ b/geraniumwell/actors/intake/channel.py
@@ -92,7 +92,7 @@
         if self.connected and not self.total_outbufs_len:
             self._linger()
 
-    def refuse(self, reason: RefusalReason, status: int | None = None) -> None:
+    def refuse(self, reason: RefusalReason, verdict: BodyRefused | None = None) -> None:
         """Answer a request that has not arrived completely, and end the connection."""
         self.server.count_refusal(reason)
         if self.total_outbufs_len:
@@ -101,7 +101,7 @@
         if self.request is not None:
             self.request.close()
             self.request = None
-        data = self.server.render_refusal(reason, status)
+        data = self.server.render_refusal(reason, verdict)
         with self.outbuf_lock:
             self.outbufs[-1].append(data)
             self.total_outbufs_len += len(data)
@@ -206,12 +206,12 @@
         req = self.request
         head = RequestHead(req.command, req.path, req.headers)
         match self.server.check_head(head):
-            case BodyRefused(status, reason):
-                self.refuse(reason, status)
+            case BodyRefused() as verdict:
+                self.refuse(verdict.reason, verdict)
                 return
             case BodyAccepted(size):
                 if not req.lower_body_limit(size):
-                    self.refuse(RefusalReason.BODY_SIZE, 413)
+                    self.refuse(RefusalReason.BODY_SIZE)
                     return
         if req.expect_continue:
             self.send_continue()
--- a/geraniumwell/actors/intake/parser.py
+++ b/geraniumwell/actors/intake/parser.py
@@ -11,6 +11,8 @@
     RequestHeaderFieldsTooLarge,
 )
 
+from geraniumwell.model.intake import BODY_COST, HEAD_COST
+
 HEAD_END: Final = b"\r\n\r\n"
 # Each header becomes an entry of a dict, and repeated ones are joined again and again.
 MAX_HEADER_LINES: Final = 128
@@ -26,10 +28,6 @@
     b"%x" % size: compile_pattern(rb"(?s:%x\r\n.{%d}\r\n)+" % (size, size))
     for size in range(1, MAX_RUN_CHUNK_BYTES + 1)
 }
-# Text and bytes of a head, entries of its dict and the environment of the call.
-HEAD_COST: Final = 4
-# BytesIO allocates an eighth more than it holds.
-BODY_COST: Final = 1.25
 
 
 class BoundedChunkedReceiver(ChunkedReceiver):
--- a/geraniumwell/actors/intake/server.py
+++ b/geraniumwell/actors/intake/server.py
@@ -27,6 +27,7 @@
 )
 from geraniumwell.model.intake import (
     BodyAccepted,
+    BodyRefused,
     Exhausted,
     Expired,
     Granted,
@@ -192,12 +193,15 @@
             return BodyAccepted(self.budget.limits.body_bytes)
         return self.options.check_head(head)
 
-    def render_refusal(self, reason: RefusalReason, status: int | None) -> bytes:
+    def render_refusal(
+        self, reason: RefusalReason, verdict: BodyRefused | None
+    ) -> bytes:
         """Return the response of a request that has not run."""
-        make = self.options.list_headers
-        return render_refusal(
-            status or STATUS_BY_REASON[reason], () if make is None else make(reason)
-        )
+        if verdict is not None:
+            return render_refusal(verdict.status, verdict.headers)
+        list_headers = self.options.list_headers
+        headers = () if list_headers is None else list_headers(reason)
+        return render_refusal(STATUS_BY_REASON[reason], headers)
 
     def count_refusal(self, reason: RefusalReason) -> None:
         """Count a refusal; log the first one after a calm time."""
--- a/geraniumwell/actors/operator_server.py
+++ b/geraniumwell/actors/operator_server.py
@@ -8,11 +8,12 @@
 
 from loguru import logger
 from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
-from waitress.server import create_server
 
+from geraniumwell.actors.intake.server import IntakeOptions, IntakeServer
 from geraniumwell.actors.statements import StatementRunner
 from geraniumwell.actors.tls_server import TlsServer
 from geraniumwell.codec.json import encode_json
+from geraniumwell.commands.intake.serve_limits import derive_server_limits
 from geraniumwell.const import ATTR_COMMAND_ID
 from geraniumwell.exceptions import (
     ChangeError,
@@ -22,15 +23,22 @@
 )
 from geraniumwell.language.parser import parse_statements
 from geraniumwell.language.printer import print_statement
+from geraniumwell.model.intake import (
+    BodyAccepted,
+    BodyRefused,
+    HeadVerdict,
+    RefusalReason,
+    RequestHead,
+)
 from geraniumwell.model.reply import ErrorReply, StatementReply, StatementsReply
 from geraniumwell.model.settings import Settings
 from geraniumwell.queries.refusals import CounterSample
 from geraniumwell.util.ids import make_token_hex
 
 STATEMENTS_PATH = "/v1/statements"
+KNOWN_CALLS = frozenset({("GET", "/metrics"), ("POST", STATEMENTS_PATH)})
 # Statements may wait for the platform, so a few of them must not block the others.
 THREADS = 8
-CONNECTION_LIMIT = 64
 REQUEST_METRICS = frozenset(
     f"geraniumwell_{name}" for name in ("requests", "refusals", "retries")
 )
@@ -108,6 +116,15 @@
         start_response(f"{status} {STATUS_TEXTS[status]}", headers)
         return [body]
 
+    def check_head(self, head: RequestHead) -> HeadVerdict:
+        """Return whether the body of a request may be read."""
+        if self._find_author(head.headers.get("AUTHORIZATION", "")) is None:
+            headers = (("WWW-Authenticate", "Bearer"),)
+            return BodyRefused(401, RefusalReason.ACCESS, headers)
+        if (head.method, head.path) in KNOWN_CALLS:
+            return BodyAccepted(self._body_bytes - 1)
+        return BodyRefused(404, RefusalReason.ACCESS)
+
     def _handle(self, environ: dict[str, Any]) -> HttpAnswer:
         author = self._find_author(environ.get("HTTP_AUTHORIZATION", ""))
         if author is None:
@@ -175,17 +192,12 @@
     __slots__ = ("_server", "_thread")
 
     def __init__(self, cfg: Settings, app: OperatorApp) -> None:
+        _, limits = derive_server_limits(cfg.limits)
+        options = IntakeOptions("operators", limits, THREADS, app.check_head)
         if cfg.tls is not None:
-            self._server: Any = TlsServer(cfg.listen.operators, cfg.tls, app, THREADS)
+            self._server: Any = TlsServer(cfg.listen.operators, cfg.tls, app, options)
         else:
-            self._server = create_server(
-                app,
-                listen=cfg.listen.operators,
-                threads=THREADS,
-                connection_limit=CONNECTION_LIMIT,
-                max_request_body_size=cfg.limits.body_bytes,
-                ident=None,
-            )
+            self._server = IntakeServer(app, cfg.listen.operators, options)
         self._thread = Thread(target=self._server.run, name="operators", daemon=True)
 
     @property
@@ -199,4 +211,4 @@
 
     def close(self) -> None:
         """Stop accepting connections."""
-        self._server.close()
+        self._server.request_drain()
--- a/geraniumwell/actors/tls_server.py
+++ b/geraniumwell/actors/tls_server.py
@@ -1,28 +1,81 @@
 """HTTPS server based on the standard library, because waitress has no TLS.
 
 waitress works on plain non-blocking sockets and can't do a TLS handshake, so a WSGI
-application with TLS is served by ``wsgiref`` on sockets of the ``ssl`` module.
+application with TLS is served by ``wsgiref`` on sockets of the ``ssl`` module. Each
+connection has one request and a thread of a fixed number, so memory is bounded by the
+largest request times the threads.
 """
 
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from io import BufferedReader, RawIOBase
 from socket import socket
-from ssl import PROTOCOL_TLS_SERVER, SSLContext, TLSVersion
+from ssl import PROTOCOL_TLS_SERVER, SSLContext, SSLSocket, TLSVersion
+from threading import BoundedSemaphore
 from typing import Any
 from wsgiref.simple_server import WSGIRequestHandler, WSGIServer
 
 from loguru import logger
 
+from geraniumwell.actors.intake.server import IntakeOptions
+from geraniumwell.helpers.intake_metrics import INTAKE_REFUSALS
+from geraniumwell.model.intake import IntakeLimits, RefusalReason
 from geraniumwell.model.settings import Tls
+from geraniumwell.util.clock import monotonic_seconds
 
-# Limits how long a client that sends nothing can occupy a thread.
-SOCKET_SECONDS = 30.0
-# Shorter, because a client needs no token to reach this point.
+# Shorter than the time of a request, because a client needs no token to reach this
+# point. The ``ssl`` module applies it to the whole handshake.
 HANDSHAKE_SECONDS = 5.0
 
 
+class RequestReader(RawIOBase):
+    """Bytes of one request, which have to arrive in a time and are bounded.
+
+    Parameters
+    ----------
+    conn : SSLSocket
+        Connection to read from.
+    limits : IntakeLimits
+        Time and size of a request.
+    now : float
+        Time at which the request begins.
+    """
+
+    def __init__(self, conn: SSLSocket, limits: IntakeLimits, now: float) -> None:
+        super().__init__()
+        self._conn = conn
+        self._deadline = now + limits.request_seconds
+        self._left = limits.head_bytes + limits.body_bytes
+
+    def readable(self) -> bool:
+        """Return that data can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Read what has arrived, or wait until the request is over its time."""
+        seconds = self._deadline - monotonic_seconds()
+        if seconds <= 0:
+            INTAKE_REFUSALS.labels(RefusalReason.REQUEST_TIME.value).inc()
+            raise TimeoutError("the request was not complete in time")
+        if self._left <= 0:
+            INTAKE_REFUSALS.labels(RefusalReason.BODY_SIZE.value).inc()
+            raise OSError("the request is too large")
+        self._conn.settimeout(seconds)
+        size = self._conn.recv_into(memoryview(buffer)[: self._left])
+        self._left -= size
+        return size
+
+
 class QuietHandler(WSGIRequestHandler):
-    """Handler without an access log."""
+    """Handler of one request without an access log."""
+
+    def setup(self) -> None:
+        """Bound the time and the size of the request."""
+        super().setup()
+        limits = self.server.options.limits
+        self.connection.settimeout(limits.response_seconds)
+        reader = RequestReader(self.connection, limits, monotonic_seconds())
+        self.rfile = BufferedReader(reader)
 
     def log_message(self, format: str, *args: Any) -> None:
         """Write no access log."""
@@ -47,18 +100,20 @@
         Certificate and key.
     app : callable
         WSGI application.
-    threads : int
-        Number of threads.
+    options : IntakeOptions
+        Limits of requests, and the number of threads.
     """
 
     request_queue_size = 64
 
     def __init__(
-        self, address: str, tls: Tls, app: Callable[..., Any], threads: int
+        self, address: str, tls: Tls, app: Callable[..., Any], options: IntakeOptions
     ) -> None:
         host, _, port = address.rpartition(":")
         self._context = make_server_context(tls)
-        self._pool = ThreadPoolExecutor(threads, "operators-tls")
+        self.options = options
+        self._pool = ThreadPoolExecutor(options.threads, "operators-tls")
+        self._places = BoundedSemaphore(options.limits.connections)
         super().__init__((host, int(port)), QuietHandler)
         self.set_app(app)
 
@@ -68,25 +123,29 @@
         return self.server_address[1]
 
     def run(self) -> None:
-        """Serve until ``close`` is called."""
+        """Serve until ``request_drain`` is called."""
         self.serve_forever()
 
-    def close(self) -> None:
+    def request_drain(self) -> None:
         """Stop accepting connections."""
         self.shutdown()
         self.server_close()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def process_request(self, request: Any, client_address: Any) -> None:
-        """Serve a connection in a thread of the pool."""
-        self._pool.submit(self._serve, request, client_address)
+        """Serve a connection in a thread of the pool, unless too many wait for one."""
+        if not self._places.acquire(blocking=False):
+            INTAKE_REFUSALS.labels(RefusalReason.CONNECTIONS.value).inc()
+            request.close()
+            return
+        future = self._pool.submit(self._serve, request, client_address)
+        future.add_done_callback(lambda _: self._places.release())
 
     def _serve(self, request: socket, client_address: Any) -> None:
         # The handshake blocks on the client, so it must not run in the accept loop.
         try:
             request.settimeout(HANDSHAKE_SECONDS)
             with self._context.wrap_socket(request, server_side=True) as conn:
-                conn.settimeout(SOCKET_SECONDS)
                 QuietHandler(conn, client_address, self)
         except OSError as exc:
             logger.debug("connection of {} ended: {}", client_address, exc)
--- a/geraniumwell/codec/intake.py
+++ b/geraniumwell/codec/intake.py
@@ -19,6 +19,7 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    405: "Method Not Allowed",
     408: "Request Timeout",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
--- a/geraniumwell/codec/settings.py
+++ b/geraniumwell/codec/settings.py
@@ -10,9 +10,11 @@
 from msgspec.json import decode
 
 from geraniumwell.codec.json import DECODER_ERRORS
+from geraniumwell.commands.intake.limits import fits_largest_body
+from geraniumwell.commands.intake.serve_limits import derive_server_limits
 from geraniumwell.const import MAX_PORT
 from geraniumwell.exceptions import SettingsError
-from geraniumwell.model.settings import Settings
+from geraniumwell.model.settings import Limits, Settings
 
 # Low enough for an abbreviation such as "cert" to match the full key.
 NEAREST_CUTOFF = 0.4
@@ -51,6 +53,7 @@
     except ValidationError as exc:
         raise _translate(exc) from exc
     _check_addresses(cfg)
+    _check_limits(cfg.limits)
     return cfg
 
 
@@ -78,6 +81,16 @@
             raise SettingsError(key, f"ip:port, not {address!r}")
 
 
+def _check_limits(limits: Limits) -> None:
+    for item in fields(limits):
+        if getattr(limits, item.name) <= 0:
+            raise SettingsError(f"$.limits.{item.name}", "a number above 0")
+    callers, operators = derive_server_limits(limits)
+    if not fits_largest_body(callers) or not fits_largest_body(operators):
+        expected = f"enough memory for a body of {limits.body_bytes} bytes"
+        raise SettingsError("$.limits.memory_mb", expected)
+
+
 def _check_keys(raw: Any, kind: Any, path: str) -> None:
     if isinstance(raw, list):
         for index, item in enumerate(raw):
--- a/geraniumwell/commands/intake/budget.py
+++ b/geraniumwell/commands/intake/budget.py
@@ -30,6 +30,8 @@
 PROGRESS_AGE_STEP_SECONDS: Final = 0.5
 # Time in which a client may read the last response of a connection.
 CLOSING_SECONDS: Final = 1.0
+# A response of which nothing was read for this long may be dropped for memory.
+STALLED_RESPONSE_SECONDS: Final = 5.0
 # Phases whose connections can be closed without losing a response.
 EVICTION_ORDER: Final = {Phase.CLOSING: 0, Phase.IDLE: 1, Phase.RECEIVING: 2}
 
@@ -130,7 +132,7 @@
     found: list[int] = []
     ranked = sorted(
         (_rank(conn, now, conn.held), conn.id)
-        for conn in _list_evictable(budget, is_large)
+        for conn in _list_evictable(budget, is_large, now)
         if conn is not asking
     )
     for rank, id in ranked:
@@ -181,10 +183,18 @@
     return max(shortage, budget.held_large + added - int(total * (1 - SMALL_SHARE)))
 
 
-def _list_evictable(budget: IntakeBudget, is_large: bool) -> Iterator[Connection]:
+def _list_evictable(
+    budget: IntakeBudget, is_large: bool, now: float
+) -> Iterator[Connection]:
     for conn in budget.connections.values():
-        if conn.phase is Phase.RECEIVING and (conn.held > SMALL_BYTES or not is_large):
-            yield conn
+        if is_large and conn.held <= SMALL_BYTES:
+            continue
+        age = now - conn.progress_at
+        match conn.phase:
+            case Phase.RECEIVING:
+                yield conn
+            case Phase.SENDING if age >= STALLED_RESPONSE_SECONDS:
+                yield conn
 
 
 def _rank(conn: Connection, now: float, held: int) -> tuple[int, int]:
--- a/geraniumwell/commands/intake/limits.py
+++ b/geraniumwell/commands/intake/limits.py
@@ -3,7 +3,13 @@
 from dataclasses import replace
 from typing import Final
 
-from geraniumwell.model.intake import CONNECTION_BYTES, IntakeLimits
+from geraniumwell.commands.intake.budget import SMALL_SHARE
+from geraniumwell.model.intake import (
+    BODY_COST,
+    CONNECTION_BYTES,
+    HEAD_COST,
+    IntakeLimits,
+)
 
 MEBIBYTE: Final = 1_048_576
 # Memory of a daemon without unfinished requests: 57 MB after its start.
@@ -45,23 +51,17 @@
         Largest body of a request.
     """
     memory = max(MIN_MEMORY_BYTES, int((memory_mb - BASE_MB) * MEBIBYTE * MEMORY_SHARE))
-    connections = min(
-        max_connections,
-        int(descriptors * DESCRIPTOR_SHARE),
-        int(memory * CONNECTION_SHARE) // CONNECTION_BYTES,
-    )
-    return IntakeLimits(
-        memory, max(MIN_CONNECTIONS, connections), request_seconds, body_bytes
-    )
+    connections = min(int(descriptors * DESCRIPTOR_SHARE), _count_affordable(memory))
+    connections = min(max_connections, max(MIN_CONNECTIONS, connections))
+    return IntakeLimits(memory, connections, request_seconds, body_bytes)
 
 
 def split_limits(limits: IntakeLimits) -> tuple[IntakeLimits, IntakeLimits]:
     """Return the limits of the server for clients and of each one for monitoring.
 
-    There are two of the latter, for readiness checks and for metrics.
-
-    The parts are fixed, so that each server decides alone and a client load on one of
-    them takes nothing from the other.
+    There are two of the latter, for readiness checks and for metrics. The parts are
+    fixed, so that each server decides alone and a client load on one of them takes
+    nothing from the other.
     """
     part = int(limits.memory_bytes * MONITORING_SHARE)
     rest = limits.memory_bytes - part * MONITORING_SERVERS
@@ -76,6 +76,29 @@
     return replace(limits, memory_bytes=rest, connections=connections), monitoring
 
 
+def share_with_operators(
+    limits: IntakeLimits, connections: int
+) -> tuple[IntakeLimits, IntakeLimits]:
+    """Return the limits of the server for callers and of the one for operators.
+
+    Operators get the memory for two of the largest requests.
+    """
+    part = MEBIBYTE + int(limits.body_bytes * 2 * BODY_COST)
+    rest = max(0, limits.memory_bytes - part)
+    callers = min(limits.connections, _count_affordable(rest))
+    operators = min(connections, _count_affordable(part))
+    return (
+        replace(limits, memory_bytes=rest, connections=callers),
+        replace(limits, memory_bytes=part, connections=operators),
+    )
+
+
+def fits_largest_body(limits: IntakeLimits) -> bool:
+    """Return whether one request with the largest body fits into a budget."""
+    needed = limits.body_bytes * BODY_COST + limits.head_bytes * HEAD_COST
+    return needed <= limits.memory_bytes * (1 - SMALL_SHARE)
+
+
 def _count_affordable(memory: int) -> int:
     """Return how many connections without a request a budget allows."""
     return int(memory * CONNECTION_SHARE) // CONNECTION_BYTES
--- a/geraniumwell/const.py
+++ b/geraniumwell/const.py
@@ -19,6 +19,10 @@
 
 DEFAULT_BODY_LIMIT_BYTES: Final = 1_048_576
 DEFAULT_CONNECTION_LIMIT: Final = 256
+DEFAULT_MEMORY_MB: Final = 512
+DEFAULT_DESCRIPTORS: Final = 4_096
+# Well above the time in which a caller with a slow link sends a body of 1 MiB.
+DEFAULT_REQUEST_SECONDS: Final = 60.0
 DEFAULT_REQUEST_TIMEOUT_MS: Final = 10_000
 # A request whose ticket is presented just before it expires must end before the issuer
 # forgets the ticket.
--- a/geraniumwell/model/intake.py
+++ b/geraniumwell/model/intake.py
@@ -12,6 +12,10 @@
 CONNECTION_BYTES: Final = 8_192
 # Largest part of a request that is read at once.
 READ_BYTES: Final = 8_192
+# Memory for a byte of a head: text, bytes, entries of a dict, environment of the call.
+HEAD_COST: Final = 4
+# Memory for a byte of a body; BytesIO allocates an eighth more than it holds.
+BODY_COST: Final = 1.25
 
 
 class Phase(Enum):
@@ -151,10 +155,14 @@
 
 @dataclass(slots=True, frozen=True)
 class BodyRefused:
-    """The request is refused with an HTTP status before its body is read."""
+    """The request is refused with an HTTP status before its body is read.
+
+    The headers replace those that the server sends with its own refusals.
+    """
 
     status: int
     reason: RefusalReason
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 HeadVerdict = BodyAccepted | BodyRefused
--- a/geraniumwell/model/settings.py
+++ b/geraniumwell/model/settings.py
@@ -3,7 +3,13 @@
 from dataclasses import dataclass, field
 from typing import Literal
 
-from geraniumwell.const import DEFAULT_BODY_LIMIT_BYTES, DEFAULT_CONNECTION_LIMIT
+from geraniumwell.const import (
+    DEFAULT_BODY_LIMIT_BYTES,
+    DEFAULT_CONNECTION_LIMIT,
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MB,
+    DEFAULT_REQUEST_SECONDS,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,10 +57,26 @@
 
 @dataclass(slots=True, frozen=True)
 class Limits:
-    """Limits on request bodies and connections of a daemon."""
+    """Limits on request bodies, connections and unfinished requests of a daemon.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Size from which bodies are refused.
+    connections : int
+        Largest number of callers' connections.
+    memory_mb, descriptors : int
+        Memory of the VM and descriptors of the process, from which the budget of
+        unfinished requests is derived.
+    request_seconds : float
+        Time in which a request has to arrive.
+    """
 
     body_bytes: int = DEFAULT_BODY_LIMIT_BYTES
     connections: int = DEFAULT_CONNECTION_LIMIT
+    memory_mb: int = DEFAULT_MEMORY_MB
+    descriptors: int = DEFAULT_DESCRIPTORS
+    request_seconds: float = DEFAULT_REQUEST_SECONDS
 
 
 @dataclass(slots=True, frozen=True)
