Bound messages and calls of the gRPC servers between daemons

Cause: calls to the relay of the store and to peers waited for a thread in any number, and peers accepted messages of 16 MiB in both directions.

Change: the library's limits for the size of a received message, calls at a time, streams of a connection, metadata, connections and idle connections. The relay accepts 4 MiB (the library's default before) and 32 calls, peers twice the largest body plus 1 MiB and 128 calls.

Ruled out: 2 MiB for the relay, because a transaction of the scheduler holds the rows of all changed jobs and its largest size is not known.

Not measured: the memory that the library takes at these limits; 32 messages of 4 MiB are more than the smallest VM has beside the process.

Conclusion: bounded, but not within one budget with the HTTP servers.

--- a/geraniumwell/actors/batch/store_relay.py
+++ b/geraniumwell/actors/batch/store_relay.py
@@ -13,6 +13,7 @@
     unary_unary_rpc_method_handler,
 )
 
+from geraniumwell.actors.intake.grpc_options import make_server_options
 from geraniumwell.clients.table import StoreError, TableClient, TableTransaction
 from geraniumwell.clients.table_relay import RELAY_SERVICE
 from geraniumwell.codec.json import CodecError
@@ -30,6 +31,10 @@
 
 # Each watch call occupies a thread for up to two seconds.
 RELAY_THREADS = 24
+# Calls that wait for a thread beyond these are refused; the caller tries another relay.
+CONCURRENT_CALLS = 32
+# A transaction of the scheduler holds the rows of all jobs that changed.
+MESSAGE_LIMIT_BYTES = 4_194_304
 CODE_UNREADABLE = "store_refused"
 
 
@@ -52,7 +57,8 @@
         self._local = local()
         self._server = server(
             ThreadPoolExecutor(RELAY_THREADS, thread_name_prefix="relay"),
-            options=(("grpc.so_reuseport", 0),),
+            options=make_server_options(MESSAGE_LIMIT_BYTES, CONCURRENT_CALLS),
+            maximum_concurrent_rpcs=CONCURRENT_CALLS,
         )
         self._server.add_generic_rpc_handlers(
             (method_handlers_generic_handler(RELAY_SERVICE, self._make_handlers()),)
--- a/geraniumwell/actors/peer_server.py
+++ b/geraniumwell/actors/peer_server.py
@@ -15,6 +15,7 @@
 )
 from pykka import ActorRef, Future, ThreadingFuture, Timeout
 
+from geraniumwell.actors.intake.grpc_options import make_server_options
 from geraniumwell.codec.json import CodecError
 from geraniumwell.codec.peer import decode_peer_request, encode_peer_message
 from geraniumwell.const import RESPONSE_LIMIT_BYTES, STATEMENT_SECONDS
@@ -47,7 +48,10 @@
     ("grpc.max_receive_message_length", MESSAGE_LIMIT_BYTES),
     ("grpc.max_send_message_length", MESSAGE_LIMIT_BYTES),
 )
-OPTIONS = (("grpc.so_reuseport", 0), *MESSAGE_OPTIONS)
+# Calls that wait for a thread beyond these are refused.
+CONCURRENT_CALLS = WORKER_THREADS * 2
+# Other fields of a forwarded request, and messages without a body.
+OTHER_FIELDS_BYTES = 1_048_576
 REFUSED_TEXT = "too many forwarded requests"
 
 
@@ -78,7 +82,14 @@
         self._receivers = receivers
         self._forwards = BoundedSemaphore(FORWARD_LIMIT)
         pool = ThreadPoolExecutor(WORKER_THREADS, thread_name_prefix="peers")
-        self._server = server(pool, options=OPTIONS)
+        # Bodies are encoded as text, which takes a third more.
+        receive_bytes = cfg.limits.body_bytes * 2 + OTHER_FIELDS_BYTES
+        options = make_server_options(receive_bytes, CONCURRENT_CALLS)
+        self._server = server(
+            pool,
+            options=(*options, ("grpc.max_send_message_length", MESSAGE_LIMIT_BYTES)),
+            maximum_concurrent_rpcs=CONCURRENT_CALLS,
+        )
         handlers: dict[str, RpcMethodHandler] = {
             METHOD_NAME: unary_unary_rpc_method_handler(self._handle)
         }
