Test the servers of serve and the check of heads, bound waiting TLS clients

Cause: connections that begin no TLS handshake occupied the 8 threads of the operators' server for 5 s each, and those behind them waited in a queue of 64 whose overflow the system hides from clients.

Change: each TLS connection has a thread, up to the connection limit; 8 of them may call the application, which checks the token before it reads a body. The head has its own limit. The listening queue is as long as that of waitress.

Before: 200 connections without a byte to the TLS server were not all closed after 60 s.

--- a/geraniumwell/actors/tls_server.py
+++ b/geraniumwell/actors/tls_server.py
@@ -2,11 +2,11 @@
 
 waitress works on plain non-blocking sockets and can't do a TLS handshake, so a WSGI
 application with TLS is served by ``wsgiref`` on sockets of the ``ssl`` module. Each
-connection has one request and a thread of a fixed number, so memory is bounded by the
-largest request times the threads.
+connection has one request and a thread of its own. Fewer of them may call the
+application, which reads a body only after it has checked the token.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from io import BufferedReader, RawIOBase
 from socket import socket
@@ -45,7 +45,11 @@
         super().__init__()
         self._conn = conn
         self._deadline = now + limits.request_seconds
-        self._left = limits.head_bytes + limits.body_bytes
+        self._left = limits.head_bytes
+
+    def allow(self, size: int) -> None:
+        """Allow more bytes, once the head is complete."""
+        self._left += size
 
     def readable(self) -> bool:
         """Return that data can be read."""
@@ -77,6 +81,12 @@
         reader = RequestReader(self.connection, limits, monotonic_seconds())
         self.rfile = BufferedReader(reader)
 
+    def parse_request(self) -> bool:
+        """Read the head; the body may follow if it is valid."""
+        is_valid = super().parse_request()
+        self.rfile.raw.allow(self.server.options.limits.body_bytes)
+        return is_valid
+
     def log_message(self, format: str, *args: Any) -> None:
         """Write no access log."""
 
@@ -90,7 +100,7 @@
 
 
 class TlsServer(WSGIServer):
-    """Serves a WSGI application over TLS with a fixed number of threads.
+    """Serves a WSGI application over TLS with a bounded number of threads.
 
     Parameters
     ----------
@@ -101,10 +111,11 @@
     app : callable
         WSGI application.
     options : IntakeOptions
-        Limits of requests, and the number of threads.
+        Limits of requests, and the number of calls of the application at a time.
     """
 
-    request_queue_size = 64
+    # As that of waitress: connections beyond it look open to clients but are not.
+    request_queue_size = 1_024
 
     def __init__(
         self, address: str, tls: Tls, app: Callable[..., Any], options: IntakeOptions
@@ -112,10 +123,13 @@
         host, _, port = address.rpartition(":")
         self._context = make_server_context(tls)
         self.options = options
-        self._pool = ThreadPoolExecutor(options.threads, "operators-tls")
-        self._places = BoundedSemaphore(options.limits.connections)
+        self._app = app
+        self._calls = BoundedSemaphore(options.threads)
+        places = options.limits.connections
+        self._pool = ThreadPoolExecutor(places, "operators-tls")
+        self._places = BoundedSemaphore(places)
         super().__init__((host, int(port)), QuietHandler)
-        self.set_app(app)
+        self.set_app(self._call)
 
     @property
     def effective_port(self) -> int:
@@ -133,7 +147,7 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def process_request(self, request: Any, client_address: Any) -> None:
-        """Serve a connection in a thread of the pool, unless too many wait for one."""
+        """Serve a connection in a thread of the pool, unless all are in use."""
         if not self._places.acquire(blocking=False):
             INTAKE_REFUSALS.labels(RefusalReason.CONNECTIONS.value).inc()
             request.close()
@@ -141,6 +155,10 @@
         future = self._pool.submit(self._serve, request, client_address)
         future.add_done_callback(lambda _: self._places.release())
 
+    def _call(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        with self._calls:
+            return self._app(environ, start_response)
+
     def _serve(self, request: socket, client_address: Any) -> None:
         # The handshake blocks on the client, so it must not run in the accept loop.
         try:
--- a/tests/actors/intake/client_load_steps.py
+++ b/tests/actors/intake/client_load_steps.py
@@ -11,7 +11,7 @@
 
 from tests.support.batch_processes import Installation, start_installation
 from tests.support.client_load import ClientLoad, make_request
-from tests.support.processes import wait_until
+from tests.support.processes import Process, wait_until
 
 SEND_SECONDS = 60.0
 DAEMON = "d1"
@@ -21,6 +21,7 @@
     """Start a daemon with settings, and a worker."""
     context.installation = start_installation(1, 1, 0.1, settings=settings)
     context.processes.append(context.installation)
+    context.daemon = context.installation.daemons[DAEMON]
 
 
 @given("a daemon with {memory_mb:d} MB and {seconds:g} seconds for a request")
@@ -64,7 +65,11 @@
 
 @then("the daemon is alive and its peak memory is under {limit:d} MB")
 def step_peak(context: Context, limit: int) -> None:
-    daemon = context.installation.daemons[DAEMON]
+    check_peak(context.installation.daemons[DAEMON], limit)
+
+
+def check_peak(daemon: Process, limit: int) -> None:
+    """Check that a process runs and its memory never reached a limit."""
     assert daemon.exit_status is None, daemon.exit_status
     status = Path(f"/proc/{daemon.pid}/status").read_text()
     found = search(r"VmHWM:\s*(\d+) kB", status)
@@ -86,7 +91,7 @@
 )
 def step_peak_until_closed(context: Context, limit: int) -> None:
     def is_closed() -> bool:
-        step_peak(context, limit)
+        check_peak(context.daemon, limit)
         return context.load.is_closed()
 
     wait_until(is_closed, "the end of the connections")
--- a/tests/support/client_load.py
+++ b/tests/support/client_load.py
@@ -13,6 +13,28 @@
 CHUNK_BYTES = 65_536
 SMALL_CHUNKS = 40_000
 LONG_LINE_BYTES = 200_000
+SERVE_TARGETS = {
+    "callers": ("/v1/requests/booking", "desk-token"),
+    "operators": ("/v1/statements", "operator-token"),
+}
+
+
+def make_serve_request(server: str, kind: str) -> bytes:
+    """Return a request to a server of ``serve`` without its last bytes."""
+    path, token = SERVE_TARGETS[server]
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\n".encode()
+    allowed = head + f"Authorization: Bearer {token}\r\n".encode()
+    length = b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+    match kind:
+        case "no bytes":
+            return b""
+        case "a whole body":
+            return allowed + length + b" " * (BODY_BYTES - 1)
+        case "a body without a token":
+            return head + length + b" " * (BODY_BYTES - 1)
+        case "a long header line":
+            return allowed + b"X-Long: " + b"x" * LONG_LINE_BYTES
+    raise ValueError(kind)
 
 
 def make_request(kind: str) -> bytes:
