--- a/geraniumwell/actors/intake/channel.py
+++ b/geraniumwell/actors/intake/channel.py
@@ -25,6 +25,8 @@
     RequestHead,
 )
 
+# Unsent part of a response that the loop sends while a worker thread still writes.
+BUSY_SEND_BYTES: Final = 65_536
 ERROR_REASONS: Final = {
     RequestEntityTooLarge: RefusalReason.BODY_SIZE,
     RequestHeaderFieldsTooLarge: RefusalReason.HEAD_SIZE,
@@ -68,6 +70,14 @@
         """Return whether to wait for data."""
         return self._is_lingering or (not self._rest and super().readable())
 
+    def writable(self) -> bool:
+        """Return whether to wait until data can be sent."""
+        if self.requests and not self.will_close:
+            # The worker thread sends what it writes. Waiting for small parts here would
+            # wake the loop again and again while the thread is sending.
+            return self.total_outbufs_len >= BUSY_SEND_BYTES
+        return super().writable()
+
     def handle_read(self) -> None:
         """Read a part of a request, if the budget grants it."""
         if self._is_lingering:
@@ -126,6 +136,9 @@
         rest, self._rest = self._rest, b""
         if rest:
             self._parse(rest)
+        elif self.server.is_stopping:
+            # The response was sent before the server began to stop.
+            self.handle_close()
         return not self.requests
 
     def add_channel(self, map: dict[int, Any] | None = None) -> None:
--- a/geraniumwell/actors/intake/loop.py
+++ b/geraniumwell/actors/intake/loop.py
@@ -42,6 +42,7 @@
         "_pause",
         "_touched",
         "_turn_at",
+        "_unwanted",
         "now",
         "sockets",
     )
@@ -51,6 +52,9 @@
         self._epoll = epoll()
         self._flags: dict[int, int] = {}
         self._touched: set[int] = set()
+        # Registered sockets without interest, mostly for the time of an answer. They
+        # are unregistered when an event arrives, because most get none meanwhile.
+        self._unwanted: set[int] = set()
         self._after_turn: list[Callable[[], None]] = []
         self._turn_at = self.now = monotonic()
         self._pause = Event()
@@ -66,6 +70,7 @@
     def forget(self, fd: int) -> None:
         """Stop waiting for a socket that is about to be closed."""
         self._touched.discard(fd)
+        self._unwanted.discard(fd)
         if self._flags.pop(fd, 0):
             self._epoll.unregister(fd)
 
@@ -95,6 +100,12 @@
         for fd, flags, owner in owners:
             if owner is None or self.sockets.get(fd) is not owner:
                 continue
+            if fd in self._unwanted:
+                self._unwanted.discard(fd)
+                self._touched.add(fd)
+                self._epoll.unregister(fd)
+                del self._flags[fd]
+                continue
             if monotonic() >= until:
                 return False
             self._touched.add(fd)
@@ -112,13 +123,11 @@
 
     def _wait_for(self, fd: int, flags: int) -> None:
         before = self._flags.get(fd, 0)
-        if flags == before:
+        if not flags and before:
+            self._unwanted.add(fd)
             return
-        if not flags:
-            # The end of a connection is reported for every registered socket, again
-            # and again, so one without interest is not registered.
-            self._epoll.unregister(fd)
-            del self._flags[fd]
+        self._unwanted.discard(fd)
+        if flags == before:
             return
         if before:
             self._epoll.modify(fd, flags)
