Give early refusals the bodies of other refusals, add client loads to the soak

Cause: a request that was refused at its head got the body {}. The command line and operators' clients expect a reply with a code, so they reported an unknown outcome or failed, whenever head and body arrived in two reads.

Change: an application of serve makes the refusals of its server, with the headers and the body of its others. The soak injects a client load every 8 s, drawn after the other faults so that earlier seeds still give their faults.

Before: in a full run beside other work (load average 33), cli.feature failed and configuration.feature failed with 'A token that is not an operator's is refused'. After: cli.feature 20 of 20 and caller_server.feature 15 of 15 scenarios passed; configuration.feature was not run again by itself.

Conclusion: refusals look alike, whoever makes them.

--- a/geraniumwell/actors/caller_server.py
+++ b/geraniumwell/actors/caller_server.py
@@ -106,21 +106,26 @@
             if route.name not in OPEN_ROUTES:
                 read_organisation(environ, self._organisations)
         except CallerError as exc:
-            headers = self._list_headers(RefusalCode(exc.code))
-            return BodyRefused(exc.status, RefusalReason.ACCESS, headers)
+            code = RefusalCode(exc.code)
+            return self._refuse_head(RefusalReason.ACCESS, exc.status, code, str(exc))
         return BodyAccepted(self._body_bytes)
 
-    def list_headers(self, reason: RefusalReason) -> tuple[tuple[str, str], ...]:
-        """Return the headers of a refusal that the server itself sends; count it."""
-        return self._list_headers(CODE_BY_REASON[reason])
+    def make_refusal(self, reason: RefusalReason, status: int) -> BodyRefused:
+        """Return and count a refusal that the server itself sends."""
+        code = CODE_BY_REASON[reason]
+        return self._refuse_head(reason, status, code, "the request was not complete")
 
-    def _list_headers(self, code: RefusalCode) -> tuple[tuple[str, str], ...]:
+    def _refuse_head(
+        self, reason: RefusalReason, status: int, code: RefusalCode, message: str
+    ) -> BodyRefused:
         self.metrics.count_refusal(code)
-        return (
-            (ATTR_REQUEST_ID, make_request_id()),
-            (ATTR_OUTCOME, Outcome.NOT_RUN.value),
+        answer = make_refusal(make_request_id(), code, status, message)
+        headers = (
+            (ATTR_REQUEST_ID, answer.request_id),
+            (ATTR_OUTCOME, answer.outcome.value),
             (ATTR_CODE, code.value),
         )
+        return BodyRefused(status, reason, headers, answer.body)
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
         try:
@@ -250,7 +255,7 @@
     """Return the waitress server for callers."""
     limits, _ = derive_server_limits(cfg.limits)
     options = IntakeOptions(
-        "callers", limits, limits.connections, app.check_head, app.list_headers
+        "callers", limits, limits.connections, app.check_head, app.make_refusal
     )
     return CallerWsgiServer(
         app, cfg.listen.callers, options, outbuf_overflow=RESPONSE_LIMIT_BYTES * 2
--- a/geraniumwell/actors/intake/server.py
+++ b/geraniumwell/actors/intake/server.py
@@ -55,6 +55,11 @@
 HeadCheck = Callable[[RequestHead], HeadVerdict]
 
 
+def make_plain_refusal(reason: RefusalReason, status: int) -> BodyRefused:
+    """Return a refusal with an empty JSON object as its body."""
+    return BodyRefused(status, reason)
+
+
 @dataclass(slots=True, frozen=True)
 class IntakeOptions:
     """Options of one server.
@@ -70,15 +75,15 @@
     check_head : callable
         Decides whether the body of a request may be read. It is called in the thread of
         the loop and must not block.
-    list_headers : callable
-        Returns headers of a response by which the server itself refuses a request.
+    make_refusal : callable
+        Returns the response by which the server itself refuses a request.
     """
 
     name: str
     limits: IntakeLimits
     threads: int
     check_head: HeadCheck | None = None
-    list_headers: Callable[[RefusalReason], Iterable[tuple[str, str]]] | None = None
+    make_refusal: Callable[[RefusalReason, int], BodyRefused] = make_plain_refusal
 
 
 class IntakeServer(TcpWSGIServer):
@@ -197,11 +202,9 @@
         self, reason: RefusalReason, verdict: BodyRefused | None
     ) -> bytes:
         """Return the response of a request that has not run."""
-        if verdict is not None:
-            return render_refusal(verdict.status, verdict.headers)
-        list_headers = self.options.list_headers
-        headers = () if list_headers is None else list_headers(reason)
-        return render_refusal(STATUS_BY_REASON[reason], headers)
+        if verdict is None:
+            verdict = self.options.make_refusal(reason, STATUS_BY_REASON[reason])
+        return render_refusal(verdict.status, verdict.headers, verdict.body)
 
     def count_refusal(self, reason: RefusalReason) -> None:
         """Count a refusal; log the first one after a calm time."""
--- a/geraniumwell/actors/operator_server.py
+++ b/geraniumwell/actors/operator_server.py
@@ -120,21 +120,29 @@
         """Return whether the body of a request may be read."""
         if self._find_author(head.headers.get("AUTHORIZATION", "")) is None:
             headers = (("WWW-Authenticate", "Bearer"),)
-            return BodyRefused(401, RefusalReason.ACCESS, headers)
+            _, _, body = _refuse_token()
+            return BodyRefused(401, RefusalReason.ACCESS, headers, body)
         if (head.method, head.path) in KNOWN_CALLS:
             return BodyAccepted(self._body_bytes - 1)
-        return BodyRefused(404, RefusalReason.ACCESS)
+        _, _, body = _refuse_path()
+        return BodyRefused(404, RefusalReason.ACCESS, body=body)
+
+    def make_refusal(self, reason: RefusalReason, status: int) -> BodyRefused:
+        """Return a refusal that the server itself sends."""
+        text = f"the request was not complete ({reason.value})"
+        _, _, body = _refuse(status, "request_refused", text)
+        return BodyRefused(status, reason, body=body)
 
     def _handle(self, environ: dict[str, Any]) -> HttpAnswer:
         author = self._find_author(environ.get("HTTP_AUTHORIZATION", ""))
         if author is None:
-            return _refuse(401, "unauthorised", "no settings name this token")
+            return _refuse_token()
         match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
             case "GET", "/metrics":
                 return 200, CONTENT_TYPE_LATEST, generate_latest()
             case "POST", "/v1/statements":
                 return self._handle_statements(environ, author)
-        return _refuse(404, "not_found", f"expected POST {STATEMENTS_PATH}")
+        return _refuse_path()
 
     def _find_author(self, header: str) -> str | None:
         given = header.removeprefix("Bearer ").encode()
@@ -183,6 +191,14 @@
     return status, "application/json", encode_json(reply)
 
 
+def _refuse_token() -> HttpAnswer:
+    return _refuse(401, "unauthorised", "no settings name this token")
+
+
+def _refuse_path() -> HttpAnswer:
+    return _refuse(404, "not_found", f"expected POST {STATEMENTS_PATH}")
+
+
 class OperatorServer:
     """Owns the operators' listening socket and its threads.
 
@@ -193,7 +209,9 @@
 
     def __init__(self, cfg: Settings, app: OperatorApp) -> None:
         _, limits = derive_server_limits(cfg.limits)
-        options = IntakeOptions("operators", limits, THREADS, app.check_head)
+        options = IntakeOptions(
+            "operators", limits, THREADS, app.check_head, app.make_refusal
+        )
         if cfg.tls is not None:
             self._server: Any = TlsServer(cfg.listen.operators, cfg.tls, app, options)
         else:
--- a/geraniumwell/model/intake.py
+++ b/geraniumwell/model/intake.py
@@ -155,14 +155,12 @@
 
 @dataclass(slots=True, frozen=True)
 class BodyRefused:
-    """The request is refused with an HTTP status before its body is read.
-
-    The headers replace those that the server sends with its own refusals.
-    """
+    """The request is refused with an HTTP status before its body is read."""
 
     status: int
     reason: RefusalReason
     headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b"{}"
 
 
 HeadVerdict = BodyAccepted | BodyRefused
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,15 @@
 
 STORE_FAULTS = ("busy", "silent", "slow", "lose_answers", "lose_answers_late")
 WORKER_FAULTS = ("fail", "shed", "hang", "silent", "late")
+# Kinds of requests that clients begin and don't end.
+LOAD_KINDS = (
+    "a whole body",
+    "chunks of 64 KiB",
+    "chunks of one byte",
+    "a long header line",
+    "a body without a key",
+)
+LOAD_INTERVAL_SECONDS = 8.0
 PATH_FAULTS = ("both", "to_server", "to_client", "silence", "reset")
 # Shorter than most faults last, so that faults overlap.
 MEAN_INTERVAL_SECONDS = 1.5
@@ -82,6 +91,14 @@
     """Let the operator replace the callers' second key with a new one."""
 
 
+@dataclass(slots=True, frozen=True)
+class LoadDaemon:
+    """Let clients begin requests to a daemon, never end them and stay connected."""
+
+    daemon: str
+    kind: str
+
+
 Fault = (
     KillDaemon
     | StopDaemon
@@ -93,6 +110,7 @@
     | BreakStore
     | CompactStore
     | ChangeKeys
+    | LoadDaemon
 )
 
 
@@ -122,6 +140,22 @@
             continue
         free_at[target] = now + duration
         planned.append(PlannedFault(now, duration, fault))
+    # Drawn after the others, so that the seeds of earlier runs still give their faults.
+    planned += draw_client_loads(random, seconds, daemons)
+    return sorted(planned, key=lambda item: item.at)
+
+
+def draw_client_loads(
+    random: Random, seconds: float, daemons: list[str]
+) -> list[PlannedFault]:
+    """Return client loads, one at a time."""
+    planned: list[PlannedFault] = []
+    now = random.uniform(0, LOAD_INTERVAL_SECONDS)
+    while now < seconds:
+        duration = random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        fault = LoadDaemon(random.choice(daemons), random.choice(LOAD_KINDS))
+        planned.append(PlannedFault(now, duration, fault))
+        now += LOAD_INTERVAL_SECONDS
     return planned
 
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -18,13 +18,18 @@
     Fault,
     KillDaemon,
     KillWorker,
+    LoadDaemon,
     PauseDaemon,
     SignalReload,
     StopDaemon,
 )
 from tests.support.batch_processes import KEY, Installation, set_fault
+from tests.support.client_load import ClientLoad, make_request
 from tests.support.tcp_proxy import TO_CLIENT, TO_SERVER, TcpProxy
 
+LOAD_CONNECTIONS = 100
+# The main thread sends the load, so it may not take long.
+LOAD_SEND_SECONDS = 1.0
 DIRECTIONS = {
     "both": (TO_SERVER, TO_CLIENT),
     "to_server": (TO_SERVER,),
@@ -60,6 +65,7 @@
         "_is_store_up",
         "_key_number",
         "_installation",
+        "_loads",
         "_report",
     )
 
@@ -73,6 +79,7 @@
         self._report = report
         self._add_key = add_key
         self._key_number = 0
+        self._loads: dict[LoadDaemon, ClientLoad] = {}
         self._is_store_up = True
         self._is_key_change_due = False
 
@@ -102,6 +109,11 @@
                 installation.compact()
             case ChangeKeys():
                 self._change_keys()
+            case LoadDaemon(name, kind):
+                address = installation.settings[name]["callers"]
+                load = ClientLoad(address, LOAD_CONNECTIONS, make_request(kind))
+                self._loads[fault] = load
+                load.send(LOAD_SEND_SECONDS)
 
     def end(self, fault: Fault) -> None:
         """Remove a fault."""
@@ -126,6 +138,8 @@
                 self._is_store_up = True
                 if self._is_key_change_due:
                     self._change_keys()
+            case LoadDaemon():
+                self._loads.pop(fault).close()
             case SignalReload() | CompactStore() | ChangeKeys():
                 return
 
