Treat the gRPC library's limit of calls as a call that has not run

Cause: the servers between daemons refuse calls beyond maximum_concurrent_rpcs with RESOURCE_EXHAUSTED and the library's text. The relay client reported a refused commit as possibly run, and the peer link took a busy peer for an unreachable one.

Change: both clients recognise the refusal by code and text. The library refuses before it calls a handler, so the call has not run. The code alone is not enough, because a response that is too large has it too. The limits stay: one above the calls of all daemons would let a message wait for each call.

Conclusion: a busy relay or peer no longer makes an outcome unknown.

--- a/geraniumwell/actors/batch/store_relay.py
+++ b/geraniumwell/actors/batch/store_relay.py
@@ -31,7 +31,8 @@
 
 # Each watch call occupies a thread for up to two seconds.
 RELAY_THREADS = 24
-# Calls that wait for a thread beyond these are refused; the caller tries another relay.
+# Calls beyond these are refused by the library. Clients recognise that as not run and
+# try another relay. A limit for all daemons would let 4 MiB wait for each call.
 CONCURRENT_CALLS = 32
 # A transaction of the scheduler holds the rows of all jobs that changed.
 MESSAGE_LIMIT_BYTES = 4_194_304
--- a/geraniumwell/actors/peer_link.py
+++ b/geraniumwell/actors/peer_link.py
@@ -22,6 +22,7 @@
     REFUSED_TEXT,
     SERVICE_NAME,
 )
+from geraniumwell.clients.grpc_refusals import is_limit_refusal
 from geraniumwell.codec.json import CodecError
 from geraniumwell.codec.peer import decode_peer_reply, encode_peer_message
 from geraniumwell.helpers.control_metrics import (
@@ -131,7 +132,9 @@
     def _fail(self, call: CallPeer, code: StatusCode, details: str) -> None:
         # The library uses the same code for a response that is too large, in which case
         # the peer has run the request.
-        is_refused = code == StatusCode.RESOURCE_EXHAUSTED and details == REFUSED_TEXT
+        is_refused = is_limit_refusal(code, details) or (
+            code == StatusCode.RESOURCE_EXHAUSTED and details == REFUSED_TEXT
+        )
         is_unconnected = (
             code == StatusCode.UNAVAILABLE and NOT_CONNECTED_TEXT in details.lower()
         )
--- a/geraniumwell/actors/peer_server.py
+++ b/geraniumwell/actors/peer_server.py
@@ -48,7 +48,8 @@
     ("grpc.max_receive_message_length", MESSAGE_LIMIT_BYTES),
     ("grpc.max_send_message_length", MESSAGE_LIMIT_BYTES),
 )
-# Calls that wait for a thread beyond these are refused.
+# Calls beyond these are refused by the library, which clients recognise as not run. A
+# much higher limit would hold that many messages while they wait for a thread.
 CONCURRENT_CALLS = WORKER_THREADS * 2
 # Other fields of a forwarded request, and messages without a body.
 OTHER_FIELDS_BYTES = 1_048_576
--- a/geraniumwell/clients/table_relay.py
+++ b/geraniumwell/clients/table_relay.py
@@ -5,6 +5,7 @@
 
 from grpc import Channel, RpcError, StatusCode, insecure_channel
 
+from geraniumwell.clients.grpc_refusals import is_limit_refusal
 from geraniumwell.clients.table import (
     Committed,
     Conflict,
@@ -182,7 +183,8 @@
                 self._read_timeout = min(
                     2 * self._read_timeout, MAX_RELAY_TIMEOUT_SECONDS
                 )
-            if exc.code() is StatusCode.UNAVAILABLE and not is_commit:
+            is_unavailable = exc.code() is StatusCode.UNAVAILABLE and not is_commit
+            if is_unavailable or is_limit_refusal(exc.code(), exc.details()):
                 raise StoreRefusedError(text) from exc
             raise StoreOutcomeUnknownError(text) from exc
         except CodecError as exc:
--- a/tests/clients/table_relay.feature
+++ b/tests/clients/table_relay.feature
@@ -40,3 +40,11 @@
     Given a peer whose read responses take 1.6 seconds
     When a table is read through the peer with at most 3 attempts
     Then the store call returns "ok"
+
+  Scenario: A commit that a relay at its limit refuses has not run
+    Guards against reporting a commit as possibly run although the gRPC library refused
+    it because of too many calls at a time.
+
+    Given a peer that handles as many calls as it accepts
+    When a transaction is sent through the peers
+    Then the store call returns "refused"
--- a/tests/clients/table_relay_steps.py
+++ b/tests/clients/table_relay_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from geraniumwell.actors.batch.store_relay import StoreRelay
+from geraniumwell.actors.batch.store_relay import CONCURRENT_CALLS, StoreRelay
 from geraniumwell.clients.table import (
     Committed,
     RowRange,
@@ -14,11 +14,14 @@
     TableTransaction,
 )
 from geraniumwell.clients.table_relay import (
+    RELAY_SERVICE,
     FailoverTableClient,
     PeerDirectory,
     RelayTableClient,
     StoreHealth,
 )
+from geraniumwell.codec.table_relay import METHOD_COMMIT, encode_relayed
+from tests.support.grpc_load import fill_server
 from tests.support.processes import find_free_port
 
 ERRORS = {"refused": StoreRefusedError, "unknown": StoreOutcomeUnknownError}
@@ -129,6 +132,22 @@
     context.client = RelayTableClient(directory)
 
 
+@given("a peer that handles as many calls as it accepts")
+def step_full_peer(context: Context) -> None:
+    store = UnresponsiveTable()
+    address = f"127.0.0.1:{find_free_port()}"
+    relay = StoreRelay(address, lambda: store)
+    relay.start()
+    context.add_cleanup(relay.close)
+    context.add_cleanup(store.has_ended.set)
+    data = encode_relayed(TableTransaction())
+    path = f"/{RELAY_SERVICE}/{METHOD_COMMIT}"
+    fill_server(context, address, path, data, CONCURRENT_CALLS)
+    directory = PeerDirectory()
+    directory.addresses = (address,)
+    context.client = RelayTableClient(directory)
+
+
 @given("a peer whose read responses take {seconds:g} seconds")
 def step_slow_peer(context: Context, seconds: float) -> None:
     directory = PeerDirectory()
