Send the same refusal whether a body arrived with its head or not

Cause: a refusal that was decided at the head of a request had the body "{}", and for callers a new request id. The same request in one packet got the code and message, and its own id. The servers of serve also checked the path as sent, while waitress passes it on without repeated slashes at its start, so "//v1/tickets" was refused only if the body came later.

Change: BodyRefused carries the body, and IntakeServer.render_refusal passes it on (one line in actors/intake/server.py). CallerApp.check_head reads the request id and builds the refusal as _answer does; OperatorApp checks heads and complete requests in one function. make_path_info gives the path in waitress's form.

Measured with head_refusal.feature, 7 requests to a daemon with the body at once and 0.2 s later. Before: fails at the first request, whose second response has the body "{}" and another id. After: all 7 are the same. caller_server, server and head_check.feature: all scenarios pass (34 with this one).

Conclusion: clients see one response for one fault.

--- a/geraniumwell/actors/caller_server.py
+++ b/geraniumwell/actors/caller_server.py
@@ -16,6 +16,7 @@
     answer_tickets,
     check_request_id,
     find_route,
+    list_answer_headers,
     make_refusal,
     read_organisation,
     read_request,
@@ -24,6 +25,7 @@
     refuse_error,
     render_head,
 )
+from geraniumwell.codec.intake import make_path_info
 from geraniumwell.commands.intake.serve_limits import derive_server_limits
 from geraniumwell.const import (
     ATTR_CODE,
@@ -99,22 +101,26 @@
         return [answer.body]
 
     def check_head(self, head: RequestHead) -> HeadVerdict:
-        """Return whether the body of a request may be read."""
+        """Return whether the body of a request may be read.
+
+        A refusal is the same as that of a request which has arrived completely.
+        """
         environ = {f"HTTP_{name}": value for name, value in head.headers.items()}
         try:
-            route = find_route(head.method, head.path)
+            request_id = read_request_id(environ)
+        except CallerError as exc:
+            return self._refuse_body(make_request_id(), exc)
+        try:
+            route = find_route(head.method, make_path_info(head.path))
             if route.name not in OPEN_ROUTES:
                 read_organisation(environ, self._organisations)
         except CallerError as exc:
-            headers = self._list_headers(RefusalCode(exc.code))
-            return BodyRefused(exc.status, RefusalReason.ACCESS, headers)
+            return self._refuse_body(request_id, exc)
         return BodyAccepted(self._body_bytes)
 
     def list_headers(self, reason: RefusalReason) -> tuple[tuple[str, str], ...]:
         """Return the headers of a refusal that the server itself sends; count it."""
-        return self._list_headers(CODE_BY_REASON[reason])
-
-    def _list_headers(self, code: RefusalCode) -> tuple[tuple[str, str], ...]:
+        code = CODE_BY_REASON[reason]
         self.metrics.count_refusal(code)
         return (
             (ATTR_REQUEST_ID, make_request_id()),
@@ -140,6 +146,11 @@
         self.metrics.count_refusal(RefusalCode(exc.code))
         return refuse_error(request_id, exc)
 
+    def _refuse_body(self, request_id: str, exc: CallerError) -> BodyRefused:
+        answer = self._refuse(request_id, exc)
+        headers = tuple(list_answer_headers(answer))
+        return BodyRefused(answer.status, RefusalReason.ACCESS, headers, answer.body)
+
     def _handle(self, environ: dict[str, Any], request_id: str) -> Answer:
         route = find_route(environ["REQUEST_METHOD"], environ["PATH_INFO"])
         if route.name == "healthz":
--- a/geraniumwell/actors/intake/server.py
+++ b/geraniumwell/actors/intake/server.py
@@ -198,7 +198,7 @@
     ) -> bytes:
         """Return the response of a request that has not run."""
         if verdict is not None:
-            return render_refusal(verdict.status, verdict.headers)
+            return render_refusal(verdict.status, verdict.headers, verdict.body)
         list_headers = self.options.list_headers
         headers = () if list_headers is None else list_headers(reason)
         return render_refusal(STATUS_BY_REASON[reason], headers)
--- a/geraniumwell/actors/operator_server.py
+++ b/geraniumwell/actors/operator_server.py
@@ -12,6 +12,7 @@
 from geraniumwell.actors.intake.server import IntakeOptions, IntakeServer
 from geraniumwell.actors.statements import StatementRunner
 from geraniumwell.actors.tls_server import TlsServer
+from geraniumwell.codec.intake import make_path_info
 from geraniumwell.codec.json import encode_json
 from geraniumwell.commands.intake.serve_limits import derive_server_limits
 from geraniumwell.const import ATTR_COMMAND_ID
@@ -37,6 +38,7 @@
 
 STATEMENTS_PATH = "/v1/statements"
 KNOWN_CALLS = frozenset({("GET", "/metrics"), ("POST", STATEMENTS_PATH)})
+ACCESS_HEADERS = {401: (("WWW-Authenticate", "Bearer"),)}
 # Statements may wait for the platform, so a few of them must not block the others.
 THREADS = 8
 REQUEST_METRICS = frozenset(
@@ -111,30 +113,29 @@
         """Answer one HTTP request."""
         status, content_type, body = self._handle(environ)
         headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
-        if status == 401:
-            headers.append(("WWW-Authenticate", "Bearer"))
+        headers += ACCESS_HEADERS.get(status, ())
         start_response(f"{status} {STATUS_TEXTS[status]}", headers)
         return [body]
 
     def check_head(self, head: RequestHead) -> HeadVerdict:
         """Return whether the body of a request may be read."""
-        if self._find_author(head.headers.get("AUTHORIZATION", "")) is None:
-            headers = (("WWW-Authenticate", "Bearer"),)
-            return BodyRefused(401, RefusalReason.ACCESS, headers)
-        if (head.method, head.path) in KNOWN_CALLS:
+        author = self._find_author(head.headers.get("AUTHORIZATION", ""))
+        refusal = _check_access(author, head.method, make_path_info(head.path))
+        if refusal is None:
             return BodyAccepted(self._body_bytes - 1)
-        return BodyRefused(404, RefusalReason.ACCESS)
+        status, _, body = refusal
+        headers = ACCESS_HEADERS.get(status, ())
+        return BodyRefused(status, RefusalReason.ACCESS, headers, body)
 
     def _handle(self, environ: dict[str, Any]) -> HttpAnswer:
         author = self._find_author(environ.get("HTTP_AUTHORIZATION", ""))
-        if author is None:
-            return _refuse(401, "unauthorised", "no settings name this token")
-        match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
-            case "GET", "/metrics":
-                return 200, CONTENT_TYPE_LATEST, generate_latest()
-            case "POST", "/v1/statements":
-                return self._handle_statements(environ, author)
-        return _refuse(404, "not_found", f"expected POST {STATEMENTS_PATH}")
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        refusal = _check_access(author, method, path)
+        if refusal is not None:
+            return refusal
+        if path == STATEMENTS_PATH:
+            return self._handle_statements(environ, author)
+        return 200, CONTENT_TYPE_LATEST, generate_latest()
 
     def _find_author(self, header: str) -> str | None:
         given = header.removeprefix("Bearer ").encode()
@@ -178,6 +179,15 @@
         return 200, StatementsReply(base_id, tuple(results))
 
 
+def _check_access(author: str | None, method: str, path: str) -> HttpAnswer | None:
+    """Return the refusal of a call, or None if it may be served."""
+    if author is None:
+        return _refuse(401, "unauthorised", "no settings name this token")
+    if (method, path) not in KNOWN_CALLS:
+        return _refuse(404, "not_found", f"expected POST {STATEMENTS_PATH}")
+    return None
+
+
 def _refuse(status: int, code: str, text: str) -> HttpAnswer:
     reply = StatementsReply("", error=ErrorReply(code, text))
     return status, "application/json", encode_json(reply)
--- a/geraniumwell/codec/http.py
+++ b/geraniumwell/codec/http.py
@@ -235,11 +235,9 @@
     return make_refusal(request_id, readiness.code, 503, readiness.reason)
 
 
-def render_head(answer: Answer) -> tuple[str, list[tuple[str, str]]]:
-    """Return the status line and the headers of a response."""
+def list_answer_headers(answer: Answer) -> list[tuple[str, str]]:
+    """Return the headers of a response without those of its body."""
     headers = [
-        ("Content-Type", answer.content_type),
-        ("Content-Length", str(len(answer.body))),
         (ATTR_REQUEST_ID, answer.request_id),
         (ATTR_OUTCOME, answer.outcome.value),
     ]
@@ -247,6 +245,16 @@
         headers.append((ATTR_CODE, answer.code.value))
     if answer.retry_after_seconds is not None:
         headers.append(("Retry-After", str(max(1, ceil(answer.retry_after_seconds)))))
+    return headers
+
+
+def render_head(answer: Answer) -> tuple[str, list[tuple[str, str]]]:
+    """Return the status line and the headers of a response."""
+    headers = [
+        ("Content-Type", answer.content_type),
+        ("Content-Length", str(len(answer.body))),
+        *list_answer_headers(answer),
+    ]
     line = STATUS_LINES.get(answer.status, f"{answer.status} Unknown")
     return line, headers
 
--- a/geraniumwell/codec/intake.py
+++ b/geraniumwell/codec/intake.py
@@ -27,6 +27,11 @@
 }
 
 
+def make_path_info(path: str) -> str:
+    """Return the path of a head in the form in which waitress passes it on."""
+    return "/" + path.lstrip("/") if path.startswith("/") else path
+
+
 def render_refusal(
     status: int, headers: Iterable[tuple[str, str]] = (), body: bytes = b"{}"
 ) -> bytes:
--- a/geraniumwell/model/intake.py
+++ b/geraniumwell/model/intake.py
@@ -157,12 +157,14 @@
 class BodyRefused:
     """The request is refused with an HTTP status before its body is read.
 
-    The headers replace those that the server sends with its own refusals.
+    The headers replace those that the server sends with its own refusals. The body is
+    JSON.
     """
 
     status: int
     reason: RefusalReason
     headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b"{}"
 
 
 HeadVerdict = BodyAccepted | BodyRefused
--- a/geraniumwell/platform/head_check.py
+++ b/geraniumwell/platform/head_check.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from geraniumwell.actors.batch.resilient_actor import ResilientActor
+from geraniumwell.codec.intake import make_path_info
 from geraniumwell.commands.batch.admission import Denied, Granted, decide_access
 from geraniumwell.helpers.batch_metrics import CALLS
 from geraniumwell.helpers.event_log import EVENT_LOG
@@ -47,10 +48,7 @@
         catalog = self._catalog
         if catalog is None:
             return BodyAccepted(self._body_bytes)
-        # waitress passes the path to the application in this form.
-        path = head.path
-        if path.startswith("/"):
-            path = "/" + path.lstrip("/")
+        path = make_path_info(head.path)
         host, key = head.headers.get("HOST", ""), head.headers.get("API_KEY", "")
         match decide_access(catalog, host, path, key):
             case Granted():
