Give a response over TLS its own time after the request was read

Cause: RequestReader set the socket's timeout to the time that the request had left, and the response was sent with it, in the worst case within a second.

Change: the timeout for the response is set back after each read, also after one that failed.

Measured with tls_server.feature, 1 s for the request and 30 s for the response: before, the timeout after a read is 0.999 s; after, 30 s.

Conclusion: slow clients get the response time of the limits.

--- a/geraniumwell/actors/tls_server.py
+++ b/geraniumwell/actors/tls_server.py
@@ -36,7 +36,7 @@
     conn : SSLSocket
         Connection to read from.
     limits : IntakeLimits
-        Time and size of a request.
+        Times and size of a request.
     now : float
         Time at which the request begins.
     """
@@ -46,6 +46,7 @@
         self._conn = conn
         self._deadline = now + limits.request_seconds
         self._left = limits.head_bytes
+        self._response_seconds = limits.response_seconds
 
     def allow(self, size: int) -> None:
         """Allow more bytes, once the head is complete."""
@@ -65,7 +66,11 @@
             INTAKE_REFUSALS.labels(RefusalReason.BODY_SIZE.value).inc()
             raise OSError("the request is too large")
         self._conn.settimeout(seconds)
-        size = self._conn.recv_into(memoryview(buffer)[: self._left])
+        try:
+            size = self._conn.recv_into(memoryview(buffer)[: self._left])
+        finally:
+            # The response is sent on the same socket and has its own time.
+            self._conn.settimeout(self._response_seconds)
         self._left -= size
         return size
 
