Count submissions that the server for clients refuses with 413

Cause: the application counts a body over the limit in geraniumwell_batch_calls as (submit, 413). Since the length is checked at the head, such a request no longer reaches the application and was not counted.

Change: ClientServer counts it, both when the check of the head lowers the limit and when the parser refuses the body, also for chunks.

Measured with client_server.feature, a body of 1,001 bytes against the limit of the configuration and one of 5,001 against that of the server. Without the count: 0 of 2 scenarios pass. With it: 2 of 2.

Conclusion: the metric shows these refusals like others.

--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -43,6 +43,7 @@
 from geraniumwell.model.batch.peer import Peer
 from geraniumwell.model.intake import IntakeLimits
 from geraniumwell.platform.client_app import ClientApp
+from geraniumwell.platform.client_server import ClientServer, count_refusal
 from geraniumwell.platform.decode import (
     decode_catalog,
     decode_entry,
@@ -260,8 +261,10 @@
     """Return the HTTP server for clients, which follows the configuration."""
     limits, _ = make_limits(cfg)
     head_check = HeadCheck(limits.body_bytes)
-    options = IntakeOptions("clients", limits, CLIENT_THREADS, head_check.check)
-    server = IntakeServer(app, cfg.callers, options)
+    options = IntakeOptions(
+        "clients", limits, CLIENT_THREADS, head_check.check, count_refusal
+    )
+    server = ClientServer(app, cfg.callers, options)
     forwarder = CatalogForwarder.start(
         lambda catalog: server.request_call(lambda: head_check.set_catalog(catalog))
     )
