Check all loads of a scenario, and ordinary requests after those of serve

Cause: the second load of "A request that arrives byte by byte is closed" replaced the first one, which was then not checked. serve_load.feature only checked requests without a body afterwards.

Change: the steps keep all loads and check and close each of them. After the load of serve, a caller asks for a ticket and an operator sends a statement, both with a token and a body. Loads and bounds are unchanged.

--- a/tests/actors/intake/client_load_steps.py
+++ b/tests/actors/intake/client_load_steps.py
@@ -37,9 +37,16 @@
 def start_load(context: Context, server: str, count: int, data: bytes) -> None:
     """Open connections to a server of the daemon and send the data on each."""
     address = context.installation.settings[DAEMON][server]
-    context.load = ClientLoad(address, count, data)
-    context.processes.append(context.load)
-    context.load.send(SEND_SECONDS)
+    load = ClientLoad(address, count, data)
+    context.processes.append(load)
+    # A scenario may start several loads; all of them are checked.
+    context.loads = [*getattr(context, "loads", ()), load]
+    load.send(SEND_SECONDS)
+
+
+def are_closed(context: Context) -> bool:
+    """Return whether the server has refused or closed all connections of all loads."""
+    return all(load.is_closed() for load in context.loads)
 
 
 @when("{count:d} connections send {kind} without the end")
@@ -57,8 +64,8 @@
     start_load(context, "callers", count, b"POST /desk/00000000000000ff HTTP/1.1\r\nX:")
 
     def is_closed() -> bool:
-        context.load.drip()
-        return context.load.is_closed()
+        context.loads[-1].drip()
+        return context.loads[-1].is_closed()
 
     wait_until(is_closed, "the end of the connections")
 
@@ -92,14 +99,14 @@
 def step_peak_until_closed(context: Context, limit: int) -> None:
     def is_closed() -> bool:
         check_peak(context.daemon, limit)
-        return context.load.is_closed()
+        return are_closed(context)
 
     wait_until(is_closed, "the end of the connections")
 
 
 @then("it refuses or closes all connections of the load")
 def step_closed(context: Context) -> None:
-    wait_until(context.load.is_closed, "the end of the connections")
+    wait_until(lambda: are_closed(context), "the end of the connections")
 
 
 def run_job(installation: Installation, job: str) -> None:
@@ -122,7 +129,8 @@
 
 @then("a job is accepted and done after the load")
 def step_job_after(context: Context) -> None:
-    context.load.close()
+    for load in context.loads:
+        load.close()
     run_job(context.installation, "00000000000000a2")
 
 
--- a/tests/actors/intake/serve_load.feature
+++ b/tests/actors/intake/serve_load.feature
@@ -10,6 +10,7 @@
     When 200 connections to its <server> send <kind> without the end
     Then its peak memory stays under 160 MB until it refuses or closes all connections
     And it answers a readiness check and an operator
+    And it answers a caller and an operator that send a token and a body
 
     Examples: servers
       | server    | kind                   | tls       |
--- a/tests/actors/intake/serve_load_steps.py
+++ b/tests/actors/intake/serve_load_steps.py
@@ -20,6 +20,8 @@
 )
 
 CERTIFICATE = ROOT / "tests" / "support" / "tls" / "certificate.pem"
+CALLER = {"Authorization": "Bearer desk-token"}
+STATEMENT = b"show organisations"
 OPERATOR = {"Authorization": "Bearer operator-token"}
 
 
@@ -56,9 +58,10 @@
 @when("{count:d} connections to its {server} send {kind} without the end")
 def step_serve_load(context: Context, count: int, server: str, kind: str) -> None:
     address = context.serve_settings["listen"][server]
-    context.load = ClientLoad(address, count, make_serve_request(server, kind))
-    context.processes.append(context.load)
-    context.load.send(SEND_SECONDS)
+    load = ClientLoad(address, count, make_serve_request(server, kind))
+    context.processes.append(load)
+    context.loads = [load]
+    load.send(SEND_SECONDS)
 
 
 @then("it answers a readiness check and an operator")
@@ -78,15 +81,27 @@
 
 def is_operator_answered(context: Context) -> bool:
     """Return whether operators get the metrics."""
-    address = context.serve_settings["listen"]["operators"]
     try:
-        if "tls" not in context.serve_settings:
-            resp = call("GET", address, "/metrics", headers=OPERATOR)
-        else:
-            trust = create_default_context(cafile=str(CERTIFICATE))
-            with PoolManager(ssl_context=trust) as pool:
-                url = f"https://{address}/metrics"
-                resp = pool.request("GET", url, headers=OPERATOR, retries=False)
+        return call_operators(context, "GET", "/metrics", b"").status == 200
     except HTTPError:
         return False
-    return resp.status == 200
+
+
+def call_operators(context: Context, method: str, path: str, body: bytes) -> Any:
+    """Make a call to the operators' server, over TLS if the daemon uses it."""
+    address = context.serve_settings["listen"]["operators"]
+    if "tls" not in context.serve_settings:
+        return call(method, address, path, headers=OPERATOR, body=body)
+    trust = create_default_context(cafile=str(CERTIFICATE))
+    with PoolManager(ssl_context=trust) as pool:
+        url = f"https://{address}{path}"
+        return pool.request(method, url, headers=OPERATOR, body=body, retries=False)
+
+
+@then("it answers a caller and an operator that send a token and a body")
+def step_bodies(context: Context) -> None:
+    address = context.serve_settings["listen"]["callers"]
+    resp = call("POST", address, "/v1/tickets", headers=CALLER, body=b'{"count": 1}')
+    assert resp.status == 200, (resp.status, resp.data)
+    resp = call_operators(context, "POST", "/v1/statements", STATEMENT)
+    assert resp.status == 200, (resp.status, resp.data)
