--- a/geraniumwell/model/intake.py
+++ b/geraniumwell/model/intake.py
@@ -155,7 +155,11 @@
 
 @dataclass(slots=True, frozen=True)
 class BodyRefused:
-    """The request is refused with an HTTP status before its body is read."""
+    """The request is refused with an HTTP status before its body is read.
+
+    The headers replace those that the server sends with its own refusals. The body is
+    JSON.
+    """
 
     status: int
     reason: RefusalReason
