Answer malformed requests with 400 instead of ending the loop

Cause: waitress raises ValueError for the address "http://[" and for a length of more digits than int accepts. The loop catches errors of handlers of events, but not of the functions called after a turn, which parse pipelined requests, apply time limits and evict. One such request after another one ended the thread of the loop. A closed descriptor could also make epoll raise in forget.

Change: the parser turns ValueError into an error of the request. The server calls settle, refuse, handle_close and the end of a time guarded for each connection, which logs the error and closes that connection. forget ignores descriptors that the system has removed.

The case of a closed descriptor has no test.

Conclusion: an error while a request is parsed or checked costs its client the connection, nobody else.

--- a/geraniumwell/actors/intake/loop.py
+++ b/geraniumwell/actors/intake/loop.py
@@ -1,6 +1,7 @@
 """Loop that owns the sockets of a process's servers for one kind of client."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from select import EPOLLIN, EPOLLOUT, EPOLLPRI, epoll
 from threading import Event
 from time import monotonic
@@ -72,7 +73,9 @@
         self._touched.discard(fd)
         self._unwanted.discard(fd)
         if self._flags.pop(fd, 0):
-            self._epoll.unregister(fd)
+            # The system removes a closed descriptor itself.
+            with suppress(OSError):
+                self._epoll.unregister(fd)
 
     def run(self) -> None:
         """Handle events until no socket is left."""
--- a/geraniumwell/actors/intake/parser.py
+++ b/geraniumwell/actors/intake/parser.py
@@ -114,7 +114,19 @@
         return held
 
     def received(self, data: bytes) -> int:
-        """Consume data; return the number of bytes consumed."""
+        """Consume data; return the number of bytes consumed.
+
+        Values that waitress does not expect, such as the URI ``http://[`` or a length
+        of more digits than ``int`` accepts, make it raise ValueError.
+        """
+        try:
+            return self._receive(data)
+        except ValueError:
+            self.error = BadRequest("Malformed request")
+            self.completed = True
+            return len(data)
+
+    def _receive(self, data: bytes) -> int:
         if self.body_rcv is not None:
             return self._receive_body(data)
         before = len(self._head)
--- a/geraniumwell/actors/intake/server.py
+++ b/geraniumwell/actors/intake/server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
+from functools import partial
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import Any, Final
 
@@ -185,7 +186,8 @@
     def evict(self, fds: Iterable[int]) -> None:
         """Refuse the unfinished requests of connections."""
         for fd in fds:
-            self.active_channels[fd].refuse(RefusalReason.MEMORY)
+            channel = self.active_channels[fd]
+            _call_guarded(channel, partial(channel.refuse, RefusalReason.MEMORY))
 
     def check_head(self, head: RequestHead) -> HeadVerdict:
         """Return whether the body of a request may be read."""
@@ -229,7 +231,8 @@
         for fd in fds:
             if self.budget.connections[fd].phase is Phase.RECEIVING:
                 self.count_refusal(RefusalReason.CONNECTIONS)
-            self.active_channels[fd].handle_close()
+            channel = self.active_channels[fd]
+            _call_guarded(channel, channel.handle_close)
 
     def _make_room(self) -> None:
         """Close a connection for the next one, or stop accepting for a moment."""
@@ -240,7 +243,10 @@
 
     def _finish_turn(self) -> None:
         for channel in list(self.busy):
-            if channel.fd is None or channel.settle():
+            if (
+                channel.fd is None
+                or _call_guarded(channel, channel.settle) is not False
+            ):
                 self.busy.discard(channel)
             if channel.fd is not None:
                 self.loop.touch(channel.fd)
@@ -250,13 +256,13 @@
         if self._fileno is not None:
             self.loop.touch(self._fileno)
         for expired in find_expired(self.budget, self.now):
-            self._expire(expired)
+            channel = self.active_channels[expired.id]
+            _call_guarded(channel, partial(self._expire, channel, expired))
         self._log(find_calm(self._pressure, self.now))
         INTAKE_HELD_BYTES.labels(self.options.name).set(self.budget.held)
         INTAKE_CONNECTIONS.labels(self.options.name).set(len(self.active_channels))
 
-    def _expire(self, expired: Expired) -> None:
-        channel = self.active_channels[expired.id]
+    def _expire(self, channel: IntakeChannel, expired: Expired) -> None:
         match expired.reason:
             case None:
                 channel.handle_close()
@@ -288,3 +294,15 @@
             if not channel.requests:
                 channel.will_close = True
                 self.loop.touch(channel.fd)
+
+
+def _call_guarded(channel: IntakeChannel, function: Callable[[], Any]) -> Any:
+    """Call a function for a connection; an error closes this connection only.
+
+    Return the function's result, or None if it failed.
+    """
+    try:
+        return function()
+    except Exception:
+        channel.handle_error()
+        return None
--- a/tests/actors/intake/server.feature
+++ b/tests/actors/intake/server.feature
@@ -38,6 +38,30 @@
     When a client asks for permission to send a body of 10 bytes
     Then it is told to continue, and its request is answered with status 200
 
+  # Guards against an error of the parser that ends the thread of the loop.
+  Scenario Outline: A malformed request ends its own connection only
+    When a client sends <what> <where>
+    Then its last response has status 400
+    And its connection is closed after that
+    And a further client gets 1 response with status 200
+
+    Examples:
+      | what                    | where                 |
+      | an invalid address      | alone                 |
+      | an invalid address      | after another request |
+      | a length of 5000 digits | alone                 |
+      | a length of 5000 digits | after another request |
+
+  # Guards against errors outside the handlers of events, which nothing caught.
+  Scenario Outline: An error while a head is checked ends its own connection only
+    When a client sends a head whose check fails <where>
+    Then a further client gets 1 response with status 200
+
+    Examples:
+      | where                 |
+      | alone                 |
+      | after another request |
+
   # Guards against an incomplete request that ends without a response.
   Scenario: A request that stops arriving is refused after its time
     When a client sends only the head of a request with a body
--- a/tests/actors/intake/server_steps.py
+++ b/tests/actors/intake/server_steps.py
@@ -28,6 +28,14 @@
 SMALL_PATH = "/small"
 SMALL_BODY_BYTES = 100
 PART = 65_536
+BROKEN_HEAD = b"POST /broken HTTP/1.1\r\nContent-Length: 10\r\n\r\n"
+MALFORMED = {
+    "an invalid address": b"GET http://[ HTTP/1.1\r\n\r\n",
+    "a length of 5000 digits": (
+        b"POST / HTTP/1.1\r\nContent-Length: " + b"1" * 5000 + b"\r\n\r\n"
+    ),
+    "a head whose check fails": BROKEN_HEAD,
+}
 
 
 class EchoApp:
@@ -78,6 +86,8 @@
     """Return whether a body may be read."""
     if head.path == REFUSED_PATH:
         return BodyRefused(404, RefusalReason.ACCESS)
+    if head.path == "/broken":
+        raise RuntimeError("the check failed")
     if head.path == SMALL_PATH:
         return BodyAccepted(SMALL_BODY_BYTES)
     return BodyAccepted(MEBIBYTE // 2)
@@ -108,6 +118,11 @@
     return data
 
 
+def read_until_closed(context: Context) -> bytes:
+    """Read until the connection ends."""
+    return b"".join(iter(lambda: context.client.recv(PART), b""))
+
+
 @given("a server with these limits")
 def step_server(context: Context) -> None:
     context.intake = Running()
@@ -150,6 +165,18 @@
     context.data = read_responses(context, 1)
 
 
+@when("a client sends {what} alone")
+def step_malformed(context: Context, what: str) -> None:
+    connect(context).sendall(MALFORMED[what])
+    context.data = read_until_closed(context)
+
+
+@when("a client sends {what} after another request")
+def step_malformed_pipelined(context: Context, what: str) -> None:
+    connect(context).sendall(make_head("/done", 0) + MALFORMED[what])
+    context.data = read_until_closed(context)
+
+
 @when("a client sends {size:d} bytes to a refused path")
 def step_send_refused(context: Context, size: int) -> None:
     client = connect(context)
@@ -195,6 +222,19 @@
     assert found == [str(status).encode()] * count, found
 
 
+@then("its last response has status {status:d}")
+def step_last_response(context: Context, status: int) -> None:
+    found = findall(rb"HTTP/1.1 (\d+)", context.data)
+    assert found[-1:] == [str(status).encode()], found
+
+
+@then("a further client gets {count:d} response with status {status:d}")
+def step_further_client(context: Context, count: int, status: int) -> None:
+    connect(context).sendall(make_head("/done", 0))
+    context.data = read_responses(context, count)
+    step_responses(context, count, status)
+
+
 @then("the responses come in the order of the requests")
 def step_order(context: Context) -> None:
     found = findall(rb"/(\d+)done", context.data)
