Record requests while the worker threads can't end them

Cause: the loop recorded a complete request after it had released the lock of the connection's requests, and read them several times. A worker thread could end the request in between. The connection then stayed in the phase RECEIVING and got an unsolicited 408, or it was no longer watched and its pipelined requests were never answered.

Change: a request is recorded before it is given to a worker thread, under the lock that the thread needs to end it. settle decides by the recorded phase whether a request is over, not by the queue of requests.

Conclusion: the pipelined case is corrected and tested; the single case has the same cause.

--- a/geraniumwell/actors/intake/channel.py
+++ b/geraniumwell/actors/intake/channel.py
@@ -139,7 +139,8 @@
         elif self.server.is_stopping:
             # The response was sent before the server began to stop.
             self.handle_close()
-        return not self.requests
+        # The queue of requests may be empty again already.
+        return self.fd is None or not self.server.is_answering(self.fd)
 
     def add_channel(self, map: dict[int, Any] | None = None) -> None:
         """Add the connection to its server."""
@@ -182,7 +183,11 @@
                 if self.request.completed:
                     self._complete()
             self._rest = data
-        self._record(size)
+            # A worker thread needs this lock to end a request, so what is recorded
+            # can't change meanwhile.
+            self._record(size)
+            if self.requests:
+                self.server.add_task(self)
         if self.request is not None and self.request.headers_finished:
             self._check_head()
 
@@ -198,7 +203,7 @@
             record_phase(budget, self.fd, Phase.IDLE, now)
 
     def _complete(self) -> None:
-        """Pass a complete request to a worker thread; skip empty lines."""
+        """Queue a complete request; skip empty lines."""
         req, self.request = self.request, None
         self.received_bytes = 0
         self.sent_continue = False
@@ -209,7 +214,6 @@
             self.server.count_refusal(reason)
             self._lingers = True
         self.requests.append(req)
-        self.server.add_task(self)
 
     def _check_head(self) -> None:
         """Ask whether the body may be read, as soon as the head is complete."""
--- a/tests/actors/intake/server.feature
+++ b/tests/actors/intake/server.feature
@@ -16,6 +16,19 @@
     Then it gets 50 responses with status 200
     And the responses come in the order of the requests
 
+  # Guards against a worker thread that ends a request while the loop records it, which
+  # left connections in a wrong phase and pipelined requests without a response.
+  Scenario Outline: Requests are recorded correctly in any order of the threads
+    Given threads that take turns after each instruction
+    When 10 clients send <times> times <count> requests at once
+    Then all of them get all their responses
+    And all connections are idle
+
+    Examples:
+      | times | count |
+      | 400   | 1     |
+      | 100   | 4     |
+
   # Guards against a body that is read although its request can't be served.
   Scenario Outline: A request is refused before its body is read
     When a client sends only the head of a request <what>
--- a/tests/actors/intake/server_steps.py
+++ b/tests/actors/intake/server_steps.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from re import findall
 from socket import SO_RCVBUF, SOL_SOCKET, create_connection, socket
+from sys import getswitchinterval, setswitchinterval
 from threading import Thread
 from time import sleep
 from typing import Any
@@ -16,6 +17,7 @@
     BodyRefused,
     HeadVerdict,
     IntakeLimits,
+    Phase,
     RefusalReason,
     RequestHead,
 )
@@ -57,6 +59,20 @@
         return [body]
 
 
+class SwitchInterval:
+    """Time after which the interpreter switches threads, until it is closed."""
+
+    __slots__ = ("_before",)
+
+    def __init__(self, seconds: float) -> None:
+        self._before = getswitchinterval()
+        setswitchinterval(seconds)
+
+    def close(self) -> None:
+        """Set the interval from before."""
+        setswitchinterval(self._before)
+
+
 class Running:
     """A server with its thread."""
 
@@ -129,6 +145,11 @@
     context.processes.append(context.intake)
 
 
+@given("threads that take turns after each instruction")
+def step_switch(context: Context) -> None:
+    context.processes.append(SwitchInterval(1e-6))
+
+
 @given("a client with an idle connection")
 def step_idle(context: Context) -> None:
     connect(context).sendall(make_head("/done", 0))
@@ -153,6 +174,19 @@
     context.data = read_responses(context, count)
 
 
+@when("{clients:d} clients send {times:d} times {count:d} requests at once")
+def step_many_pipelined(context: Context, clients: int, times: int, count: int) -> None:
+    context.counts = [0] * times
+    context.clients, context.expected = clients, clients * count
+    sockets = [connect(context) for _ in range(clients)]
+    for index in range(times):
+        for client in sockets:
+            client.sendall((make_head("/a", 4) + b"done") * count)
+        for context.client in sockets:
+            data = read_responses(context, count)
+            context.counts[index] += data.count(b"HTTP/1.1 200 OK")
+
+
 @when("a client sends only the head of a request {what}")
 def step_head(context: Context, what: str) -> None:
     heads = {
@@ -222,6 +256,21 @@
     assert found == [str(status).encode()] * count, found
 
 
+@then("all of them get all their responses")
+def step_all_answered(context: Context) -> None:
+    assert set(context.counts) == {context.expected}, context.counts
+
+
+@then("all connections are idle")
+def step_all_idle(context: Context) -> None:
+    conns = context.intake.server.budget.connections.values()
+    # A connection left in another phase is closed in the end, so all are counted.
+    wait_until(
+        lambda: [conn.phase for conn in list(conns)] == [Phase.IDLE] * context.clients,
+        "the end of all requests",
+    )
+
+
 @then("its last response has status {status:d}")
 def step_last_response(context: Context, status: int) -> None:
     found = findall(rb"HTTP/1.1 (\d+)", context.data)
