Measure turns of the intake loop in processor time

Cause: a turn ended after 5 ms of elapsed time and paused as long. Each read releases the interpreter's lock, so beside a busy thread a turn handled about one event; time for which the process was paused counted as work as well.

Change: turn and pause are measured in processor time of the loop's thread. A turn handles at least 32 events of small requests, and the loop pauses only if a larger request is among the events of a turn that left some.

--- a/geraniumwell/actors/intake/loop.py
+++ b/geraniumwell/actors/intake/loop.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 from select import EPOLLIN, EPOLLOUT, EPOLLPRI, epoll
 from threading import Event
-from time import monotonic
+from time import monotonic, thread_time
 from typing import Any, Final
 
 from waitress.wasyncore import readwrite
@@ -13,12 +13,17 @@
 TURN_SECONDS: Final = 1.0
 # Events fetched in one turn; those that are not handled are fetched again.
 TURN_EVENTS: Final = 2_048
-# Time after which a turn handles no further event.
+# Processor time of the loop's thread after which a turn handles no further event. Time
+# in which other threads run or the process is paused does not count.
 WORK_SECONDS: Final = 0.005
+# A request of which at most this much has arrived is small; ordinary ones have some KB.
+SMALL_REQUEST_BYTES: Final = 16_384
+# Events of small requests that a turn always handles.
+MIN_TURN_EVENTS: Final = 32
 # Longest time that one turn counts for. A process that was paused for longer must not
 # close connections whose bytes arrived meanwhile.
 MAX_TURN_SECONDS: Final = 2.0
-# Longest pause after a full turn.
+# Longest pause after a full turn with larger requests.
 MAX_PAUSE_SECONDS: Final = 0.05
 
 
@@ -86,21 +91,27 @@
             begin = monotonic()
             self.now += min(begin - self._turn_at, MAX_TURN_SECONDS)
             self._turn_at = begin
-            is_done = self._handle(events, begin + WORK_SECONDS)
+            begin_work = thread_time()
+            needs_pause = self._handle(events, begin_work + WORK_SECONDS)
             for function in self._after_turn:
                 function()
-            if not is_done:
-                # Leaves half of the processor to the other threads under any load.
-                self._pause.wait(min(monotonic() - begin, MAX_PAUSE_SECONDS))
+            if needs_pause:
+                # Leaves half of the processor to the other threads under load.
+                work = thread_time() - begin_work
+                self._pause.wait(min(work, MAX_PAUSE_SECONDS))
         self._epoll.close()
 
     def _handle(self, events: list[tuple[int, int]], until: float) -> bool:
-        """Handle events until a time, cheap ones first; return whether all are."""
+        """Handle events until a processor time, those of small requests first.
+
+        Return whether events are left over and larger requests are among the events.
+        """
         # A descriptor that is closed may be in use again within the same turn.
         owners = [(fd, flags, self.sockets.get(fd)) for fd, flags in events]
         if len(owners) > 1:
             owners.sort(key=_rank)
-        for fd, flags, owner in owners:
+        for index, event in enumerate(owners):
+            fd, flags, owner = event
             if owner is None or self.sockets.get(fd) is not owner:
                 continue
             if fd in self._unwanted:
@@ -109,11 +120,12 @@
                 self._epoll.unregister(fd)
                 del self._flags[fd]
                 continue
-            if monotonic() >= until:
-                return False
+            is_due = index < MIN_TURN_EVENTS and _rank(event) <= SMALL_REQUEST_BYTES
+            if not is_due and thread_time() >= until:
+                return _rank(owners[-1]) > SMALL_REQUEST_BYTES
             self._touched.add(fd)
             readwrite(owner, flags)
-        return True
+        return False
 
     def _update_interest(self) -> None:
         touched, self._touched = self._touched, set()
