Keep connections whose requests have arrived but are not read yet

Cause: time limits were applied in the turn in which the loop had left events over, also directly after the process or the loop was blocked. At the limit of connections a new one was accepted before the events of the same turn were read, and closed an idle connection whose request had arrived.

Change: the loop knows the descriptors whose events of the turn are not handled, and whether a turn began late. Idle connections with such an event neither expire nor are replaced; others with one have 5 s more, so that a client that sends without a pause can't hold its connection. After a late turn limits are checked one turn later. Requests that begin come before new connections at the limit, and listening sockets are handled also in a turn that is over its time.

Measured: both new scenarios (300 idle connections and a loop blocked for 3 s; 20 of 20 connections and a new one) failed before with reset connections. The late turn of a process that the system stopped within poll has no test.

Conclusion: requests that arrived in time are answered after a blocked turn.

--- a/geraniumwell/actors/intake/channel.py
+++ b/geraniumwell/actors/intake/channel.py
@@ -66,6 +66,11 @@
         """Descriptor of the socket, which is also the connection's id in the budget."""
         return self._fileno
 
+    @property
+    def event_rank(self) -> int:
+        """Key by which the loop orders events; the lowest come first."""
+        return self.received_bytes
+
     def readable(self) -> bool:
         """Return whether to wait for data."""
         return self._is_lingering or (not self._rest and super().readable())
--- a/geraniumwell/actors/intake/loop.py
+++ b/geraniumwell/actors/intake/loop.py
@@ -23,6 +23,8 @@
 # Longest time that one turn counts for. A process that was paused for longer must not
 # close connections whose bytes arrived meanwhile.
 MAX_TURN_SECONDS: Final = 2.0
+# Time between two turns from which the process was paused, or a handler blocked.
+LATE_SECONDS: Final = TURN_SECONDS + 0.5
 # Longest pause after a full turn with larger requests.
 MAX_PAUSE_SECONDS: Final = 0.05
 
@@ -39,6 +41,11 @@
         it is empty.
     now : float
         Time of the current turn, without the times for which the process was paused.
+    pending : set of int
+        Descriptors whose events of the current turn are not handled, or not yet.
+    is_late : bool
+        Whether much time has passed since the last turn, so that there may be data that
+        the system has not reported yet. It does not hold for two turns in a row.
     """
 
     __slots__ = (
@@ -49,7 +56,9 @@
         "_touched",
         "_turn_at",
         "_unwanted",
+        "is_late",
         "now",
+        "pending",
         "sockets",
     )
 
@@ -64,6 +73,8 @@
         self._after_turn: list[Callable[[], None]] = []
         self._turn_at = self.now = monotonic()
         self._pause = Event()
+        self.pending: set[int] = set()
+        self.is_late = False
 
     def call_after_turns(self, function: Callable[[], None]) -> None:
         """Call a function after each turn."""
@@ -77,6 +88,7 @@
         """Stop waiting for a socket that is about to be closed."""
         self._touched.discard(fd)
         self._unwanted.discard(fd)
+        self.pending.discard(fd)
         if self._flags.pop(fd, 0):
             # The system removes a closed descriptor itself.
             with suppress(OSError):
@@ -88,9 +100,7 @@
         while self.sockets:
             self._update_interest()
             events = self._epoll.poll(TURN_SECONDS, TURN_EVENTS)
-            begin = monotonic()
-            self.now += min(begin - self._turn_at, MAX_TURN_SECONDS)
-            self._turn_at = begin
+            self._advance(monotonic())
             begin_work = thread_time()
             needs_pause = self._handle(events, begin_work + WORK_SECONDS)
             for function in self._after_turn:
@@ -101,6 +111,11 @@
                 self._pause.wait(min(work, MAX_PAUSE_SECONDS))
         self._epoll.close()
 
+    def _advance(self, at: float) -> None:
+        elapsed, self._turn_at = at - self._turn_at, at
+        self.now += min(elapsed, MAX_TURN_SECONDS)
+        self.is_late = elapsed > LATE_SECONDS and not self.is_late
+
     def _handle(self, events: list[tuple[int, int]], until: float) -> bool:
         """Handle events until a processor time, those of small requests first.
 
@@ -108,6 +123,8 @@
         """
         # A descriptor that is closed may be in use again within the same turn.
         owners = [(fd, flags, self.sockets.get(fd)) for fd, flags in events]
+        self.pending = {fd for fd, _ in events}
+        is_over = False
         if len(owners) > 1:
             owners.sort(key=_rank)
         for index, event in enumerate(owners):
@@ -119,13 +136,19 @@
                 self._touched.add(fd)
                 self._epoll.unregister(fd)
                 del self._flags[fd]
+                self.pending.discard(fd)
                 continue
-            is_due = index < MIN_TURN_EVENTS and _rank(event) <= SMALL_REQUEST_BYTES
-            if not is_due and thread_time() >= until:
-                return _rank(owners[-1]) > SMALL_REQUEST_BYTES
+            is_due = owner.accepting or (
+                index < MIN_TURN_EVENTS and _rank(event) <= SMALL_REQUEST_BYTES
+            )
+            if not is_due:
+                is_over = is_over or thread_time() >= until
+                if is_over:
+                    continue
+            self.pending.discard(fd)
             self._touched.add(fd)
             readwrite(owner, flags)
-        return False
+        return bool(self.pending) and _rank(owners[-1]) > SMALL_REQUEST_BYTES
 
     def _update_interest(self) -> None:
         touched, self._touched = self._touched, set()
@@ -154,9 +177,9 @@
 def _rank(event: tuple[int, int, Any]) -> int:
     """Return a key that puts requests of which little has arrived first.
 
-    Listening sockets and wake-ups come before all connections.
+    Wake-ups come before all connections.
     """
-    return getattr(event[2], "received_bytes", -1)
+    return getattr(event[2], "event_rank", -1)
 
 
 def _find_flags(owner: Any) -> int:
--- a/geraniumwell/actors/intake/server.py
+++ b/geraniumwell/actors/intake/server.py
@@ -130,6 +130,16 @@
         """Time of the current turn of the loop."""
         return self.loop.now
 
+    @property
+    def event_rank(self) -> int:
+        """Key by which the loop orders events; the lowest come first.
+
+        At the limit, idle connections whose request has arrived come before new ones,
+        which would close them.
+        """
+        is_full = len(self.active_channels) >= self.budget.limits.connections
+        return 1 if is_full else -1
+
     def run(self) -> None:
         """Serve until the server is stopped and its last connection closed."""
         self.loop.run()
@@ -211,7 +221,8 @@
         self._log(record_refusal(self._pressure, reason, self.now))
 
     def _add(self, conn: Any, addr: Any) -> None:
-        match add_connection(self.budget, conn.fileno(), self.now):
+        pending = self.loop.pending
+        match add_connection(self.budget, conn.fileno(), self.now, pending):
             case Exhausted():
                 self.count_refusal(RefusalReason.CONNECTIONS)
                 conn.close()
@@ -236,7 +247,7 @@
 
     def _make_room(self) -> None:
         """Close a connection for the next one, or stop accepting for a moment."""
-        fds = find_replaceable(self.budget)
+        fds = find_replaceable(self.budget, self.loop.pending)
         self._replace(fds)
         if not fds:
             self._accepts_from = self.now + ACCEPT_PAUSE_SECONDS
@@ -250,12 +261,13 @@
                 self.busy.discard(channel)
             if channel.fd is not None:
                 self.loop.touch(channel.fd)
-        if self.now - self._checked_at < CHECK_INTERVAL_SECONDS:
+        is_due = self.now - self._checked_at >= CHECK_INTERVAL_SECONDS
+        if not is_due or self.loop.is_late:
             return
         self._checked_at = self.now
         if self._fileno is not None:
             self.loop.touch(self._fileno)
-        for expired in find_expired(self.budget, self.now):
+        for expired in find_expired(self.budget, self.now, self.loop.pending):
             channel = self.active_channels[expired.id]
             _call_guarded(channel, partial(self._expire, channel, expired))
         self._log(find_calm(self._pressure, self.now))
--- a/geraniumwell/commands/intake/budget.py
+++ b/geraniumwell/commands/intake/budget.py
@@ -5,7 +5,7 @@
 An eviction looks at all connections once; reads without an eviction look at one.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from typing import Final
 
 from geraniumwell.model.intake import (
@@ -30,19 +30,24 @@
 PROGRESS_AGE_STEP_SECONDS: Final = 0.5
 # Time in which a client may read the last response of a connection.
 CLOSING_SECONDS: Final = 1.0
+# Additional time of a connection with an event that is not handled yet. It is bounded,
+# since a client that sends without a pause may always have such an event.
+PENDING_SECONDS: Final = 5.0
 # A response of which nothing was read for this long may be dropped for memory.
 STALLED_RESPONSE_SECONDS: Final = 5.0
 # Phases whose connections can be closed without losing a response.
 EVICTION_ORDER: Final = {Phase.CLOSING: 0, Phase.IDLE: 1, Phase.RECEIVING: 2}
 
 
-def add_connection(budget: IntakeBudget, id: int, now: float) -> Reservation:
+def add_connection(
+    budget: IntakeBudget, id: int, now: float, pending: Set[int] = frozenset()
+) -> Reservation:
     """Add a connection; evict others if there are too many or no memory is left."""
     conn = Connection(id, now, now, held=0)
     evicted: tuple[int, ...] = ()
     needed = _find_shortage(budget, conn, CONNECTION_BYTES)
     if len(budget.connections) >= budget.limits.connections:
-        evicted = find_replaceable(budget)
+        evicted = find_replaceable(budget, pending)
         if not evicted:
             return Exhausted()
     elif needed > 0:
@@ -145,29 +150,52 @@
     return ()
 
 
-def find_replaceable(budget: IntakeBudget) -> tuple[int, ...]:
-    """Return the connection to close for a new one: idle ones before active ones."""
+def find_replaceable(
+    budget: IntakeBudget, pending: Set[int] = frozenset()
+) -> tuple[int, ...]:
+    """Return the connection to close for a new one: idle ones before active ones.
+
+    Parameters
+    ----------
+    pending : set of int
+        Connections with an event that is not handled yet. Those in the phase IDLE have
+        probably sent a request and stay.
+    """
     ranked = [
         (EVICTION_ORDER[conn.phase], conn.progress_at, conn.id)
         for conn in budget.connections.values()
         if conn.phase in EVICTION_ORDER
+        and not (conn.phase is Phase.IDLE and conn.id in pending)
     ]
     return (min(ranked)[2],) if ranked else ()
 
 
-def find_expired(budget: IntakeBudget, now: float) -> tuple[Expired, ...]:
-    """Return the connections that are over one of their times."""
+def find_expired(
+    budget: IntakeBudget, now: float, pending: Set[int] = frozenset()
+) -> tuple[Expired, ...]:
+    """Return the connections that are over one of their times.
+
+    Parameters
+    ----------
+    pending : set of int
+        Connections with an event that is not handled yet.
+    """
     limits = budget.limits
     found = []
     for conn in budget.connections.values():
+        is_pending = conn.id in pending
+        # The time at which the event may have been handled.
+        at = now - PENDING_SECONDS if is_pending else now
         match conn.phase:
+            case Phase.IDLE if is_pending:
+                continue
             case Phase.IDLE if now - conn.progress_at >= limits.idle_seconds:
                 found.append(Expired(conn.id, None))
             case Phase.CLOSING if now - conn.began_at >= CLOSING_SECONDS:
                 found.append(Expired(conn.id, None))
-            case Phase.RECEIVING if now - conn.began_at >= limits.request_seconds:
+            case Phase.RECEIVING if at - conn.began_at >= limits.request_seconds:
                 found.append(Expired(conn.id, RefusalReason.REQUEST_TIME))
-            case Phase.SENDING if now - conn.progress_at >= limits.response_seconds:
+            case Phase.SENDING if at - conn.progress_at >= limits.response_seconds:
                 found.append(Expired(conn.id, RefusalReason.UNREAD_RESPONSE))
     return tuple(found)
 
--- a/tests/actors/intake/server.feature
+++ b/tests/actors/intake/server.feature
@@ -87,6 +87,20 @@
     When a client reads nothing of a response of 8000000 bytes
     Then its connection is closed by the server
 
+  # Guards against closing connections whose requests arrived while the loop was blocked.
+  Scenario: Requests that arrive while the loop is blocked are answered
+    Given a server for 400 connections that closes those idle for 4 seconds
+    And 300 idle connections
+    When the connections are idle for 2.5 seconds
+    And all of them send a request while the loop is blocked for 3 seconds
+    Then all of them get a response
+
+  # Guards against a new connection that replaces one whose request has just arrived.
+  Scenario: A new connection at the limit closes none whose request has arrived
+    Given 20 idle connections
+    When all of them send a request after a new client connects in a blocked loop
+    Then all of them get a response
+
   # Guards against a stopping server that waits for incomplete requests.
   Scenario: A stopping server ends its idle connections
     Given a client with an idle connection
--- a/tests/actors/intake/server_steps.py
+++ b/tests/actors/intake/server_steps.py
@@ -1,10 +1,11 @@
 """Steps of the bounded HTTP server, which runs in the test's process."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from re import findall
 from socket import SO_RCVBUF, SOL_SOCKET, create_connection, socket
 from sys import getswitchinterval, setswitchinterval
-from threading import Thread
+from threading import Event, Thread
 from time import sleep
 from typing import Any
 
@@ -30,6 +31,11 @@
 SMALL_PATH = "/small"
 SMALL_BODY_BYTES = 100
 PART = 65_536
+LIMITS = IntakeLimits(
+    MEBIBYTE, 20, 1.0, MEBIBYTE // 2, response_seconds=1.0, head_bytes=16_384
+)
+# Time in which the system passes on what clients send through loopback.
+ARRIVAL_SECONDS = 0.5
 BROKEN_HEAD = b"POST /broken HTTP/1.1\r\nContent-Length: 10\r\n\r\n"
 MALFORMED = {
     "an invalid address": b"GET http://[ HTTP/1.1\r\n\r\n",
@@ -78,11 +84,8 @@
 
     __slots__ = ("app", "server", "thread")
 
-    def __init__(self) -> None:
+    def __init__(self, limits: IntakeLimits = LIMITS) -> None:
         self.app = EchoApp()
-        limits = IntakeLimits(
-            MEBIBYTE, 20, 1.0, MEBIBYTE // 2, response_seconds=1.0, head_bytes=16_384
-        )
         options = IntakeOptions("test", limits, 2, check_head)
         self.server = IntakeServer(self.app, "127.0.0.1:0", options)
         self.thread = Thread(target=self.server.run, daemon=True)
@@ -145,6 +148,22 @@
     context.processes.append(context.intake)
 
 
+@given("a server for {count:d} connections that closes those idle for {idle:d} seconds")
+def step_idle_server(context: Context, count: int, idle: int) -> None:
+    limits = replace(
+        LIMITS, memory_bytes=8 * MEBIBYTE, connections=count, idle_seconds=idle
+    )
+    context.intake = Running(limits)
+    context.processes.append(context.intake)
+
+
+@given("{count:d} idle connections")
+def step_idle_connections(context: Context, count: int) -> None:
+    context.clients = [connect(context) for _ in range(count)]
+    server = context.intake.server
+    wait_until(lambda: len(server.active_channels) == count, "the connections")
+
+
 @given("threads that take turns after each instruction")
 def step_switch(context: Context) -> None:
     context.processes.append(SwitchInterval(1e-6))
@@ -177,7 +196,7 @@
 @when("{clients:d} clients send {times:d} times {count:d} requests at once")
 def step_many_pipelined(context: Context, clients: int, times: int, count: int) -> None:
     context.counts = [0] * times
-    context.clients, context.expected = clients, clients * count
+    context.client_count, context.expected = clients, clients * count
     sockets = [connect(context) for _ in range(clients)]
     for index in range(times):
         for client in sockets:
@@ -187,6 +206,31 @@
             context.counts[index] += data.count(b"HTTP/1.1 200 OK")
 
 
+@when("the connections are idle for {seconds:g} seconds")
+def step_wait_idle(context: Context, seconds: float) -> None:
+    sleep(seconds)
+
+
+@when("all of them send a request while the loop is blocked for {seconds:g} seconds")
+def step_blocked(context: Context, seconds: float) -> None:
+    context.intake.server.request_call(lambda: sleep(seconds))
+    sleep(ARRIVAL_SECONDS)
+    for client in context.clients:
+        client.sendall(make_head("/done", 0))
+
+
+@when("all of them send a request after a new client connects in a blocked loop")
+def step_blocked_at_limit(context: Context) -> None:
+    blocked, proceed = Event(), Event()
+    context.intake.server.request_call(lambda: (blocked.set(), proceed.wait()))
+    assert blocked.wait(SOCKET_SECONDS)
+    connect(context)
+    for client in context.clients:
+        client.sendall(make_head("/done", 0))
+    sleep(ARRIVAL_SECONDS)
+    proceed.set()
+
+
 @when("a client sends only the head of a request {what}")
 def step_head(context: Context, what: str) -> None:
     heads = {
@@ -266,11 +310,22 @@
     conns = context.intake.server.budget.connections.values()
     # A connection left in another phase is closed in the end, so all are counted.
     wait_until(
-        lambda: [conn.phase for conn in list(conns)] == [Phase.IDLE] * context.clients,
+        lambda: (
+            [conn.phase for conn in list(conns)] == [Phase.IDLE] * context.client_count
+        ),
         "the end of all requests",
     )
 
 
+@then("all of them get a response")
+def step_all_get_response(context: Context) -> None:
+    count = 0
+    for client in context.clients:
+        context.client = client
+        count += read_responses(context, 1).startswith(b"HTTP/1.1 200 OK")
+    assert count == len(context.clients), count
+
+
 @then("its last response has status {status:d}")
 def step_last_response(context: Context, status: int) -> None:
     found = findall(rb"HTTP/1.1 (\d+)", context.data)
