Discard empty lines before a request

Cause: CRLF that some clients send after a request began a new request, which never completed and ended in a 408 on an idle connection.

Change: CR and LF before a request are discarded, and the connection stays idle.

Measured: the new scenario failed before.

Conclusion: empty lines have no effect on an idle connection.

--- a/geraniumwell/actors/intake/channel.py
+++ b/geraniumwell/actors/intake/channel.py
@@ -181,6 +181,11 @@
                 return
             while data and not self.requests:
                 if self.request is None:
+                    # Some clients send CRLF after a request. It begins no new one.
+                    data = data.lstrip(b"\r\n")
+                    if not data:
+                        self.received_bytes = 0
+                        break
                     self.request = self.parser_class(self.adj)
                     self.request.body_limit = self.server.budget.limits.body_bytes
                     self._is_checked = False
--- a/tests/actors/intake/server.feature
+++ b/tests/actors/intake/server.feature
@@ -101,6 +101,12 @@
     When all of them send a request after a new client connects in a blocked loop
     Then all of them get a response
 
+  # Guards against a 408 on a connection whose client sends CRLF after a request.
+  Scenario: Empty lines after a request leave the connection idle
+    Given a client with an idle connection
+    When it sends empty lines, and a request after the time for requests
+    Then it gets 1 response with status 200
+
   # Guards against a stopping server that waits for incomplete requests.
   Scenario: A stopping server ends its idle connections
     Given a client with an idle connection
--- a/tests/actors/intake/server_steps.py
+++ b/tests/actors/intake/server_steps.py
@@ -231,6 +231,15 @@
     proceed.set()
 
 
+@when("it sends empty lines, and a request after the time for requests")
+def step_empty_lines(context: Context) -> None:
+    context.client.sendall(b"\r\n\r")
+    # Time limits are checked after a turn of the loop, which lasts a second at most.
+    sleep(LIMITS.request_seconds + 1.5)
+    context.client.sendall(b"\n" + make_head("/done", 0))
+    context.data = read_responses(context, 1)
+
+
 @when("a client sends only the head of a request {what}")
 def step_head(context: Context, what: str) -> None:
     heads = {
