--- a/geraniumwell/actors/intake/server.py
+++ b/geraniumwell/actors/intake/server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
+from functools import partial
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import Any, Final
 
@@ -134,6 +135,16 @@
         """Time of the current turn of the loop."""
         return self.loop.now
 
+    @property
+    def event_rank(self) -> int:
+        """Key by which the loop orders events; the lowest come first.
+
+        At the limit, idle connections whose request has arrived come before new ones,
+        which would close them.
+        """
+        is_full = len(self.active_channels) >= self.budget.limits.connections
+        return 1 if is_full else -1
+
     def run(self) -> None:
         """Serve until the server is stopped and its last connection closed."""
         self.loop.run()
@@ -190,7 +201,8 @@
     def evict(self, fds: Iterable[int]) -> None:
         """Refuse the unfinished requests of connections."""
         for fd in fds:
-            self.active_channels[fd].refuse(RefusalReason.MEMORY)
+            channel = self.active_channels[fd]
+            _call_guarded(channel, partial(channel.refuse, RefusalReason.MEMORY))
 
     def check_head(self, head: RequestHead) -> HeadVerdict:
         """Return whether the body of a request may be read."""
@@ -212,7 +224,8 @@
         self._log(record_refusal(self._pressure, reason, self.now))
 
     def _add(self, conn: Any, addr: Any) -> None:
-        match add_connection(self.budget, conn.fileno(), self.now):
+        pending = self.loop.pending
+        match add_connection(self.budget, conn.fileno(), self.now, pending):
             case Exhausted():
                 self.count_refusal(RefusalReason.CONNECTIONS)
                 conn.close()
@@ -232,34 +245,39 @@
         for fd in fds:
             if self.budget.connections[fd].phase is Phase.RECEIVING:
                 self.count_refusal(RefusalReason.CONNECTIONS)
-            self.active_channels[fd].handle_close()
+            channel = self.active_channels[fd]
+            _call_guarded(channel, channel.handle_close)
 
     def _make_room(self) -> None:
         """Close a connection for the next one, or stop accepting for a moment."""
-        fds = find_replaceable(self.budget)
+        fds = find_replaceable(self.budget, self.loop.pending)
         self._replace(fds)
         if not fds:
             self._accepts_from = self.now + ACCEPT_PAUSE_SECONDS
 
     def _finish_turn(self) -> None:
         for channel in list(self.busy):
-            if channel.fd is None or channel.settle():
+            if (
+                channel.fd is None
+                or _call_guarded(channel, channel.settle) is not False
+            ):
                 self.busy.discard(channel)
             if channel.fd is not None:
                 self.loop.touch(channel.fd)
-        if self.now - self._checked_at < CHECK_INTERVAL_SECONDS:
+        is_due = self.now - self._checked_at >= CHECK_INTERVAL_SECONDS
+        if not is_due or self.loop.is_late:
             return
         self._checked_at = self.now
         if self._fileno is not None:
             self.loop.touch(self._fileno)
-        for expired in find_expired(self.budget, self.now):
-            self._expire(expired)
+        for expired in find_expired(self.budget, self.now, self.loop.pending):
+            channel = self.active_channels[expired.id]
+            _call_guarded(channel, partial(self._expire, channel, expired))
         self._log(find_calm(self._pressure, self.now))
         INTAKE_HELD_BYTES.labels(self.options.name).set(self.budget.held)
         INTAKE_CONNECTIONS.labels(self.options.name).set(len(self.active_channels))
 
-    def _expire(self, expired: Expired) -> None:
-        channel = self.active_channels[expired.id]
+    def _expire(self, channel: IntakeChannel, expired: Expired) -> None:
         match expired.reason:
             case None:
                 channel.handle_close()
@@ -291,3 +309,15 @@
             if not channel.requests:
                 channel.will_close = True
                 self.loop.touch(channel.fd)
+
+
+def _call_guarded(channel: IntakeChannel, function: Callable[[], Any]) -> Any:
+    """Call a function for a connection; an error closes this connection only.
+
+    Return the function's result, or None if it failed.
+    """
+    try:
+        return function()
+    except Exception:
+        channel.handle_error()
+        return None
--- a/tests/actors/intake/server_steps.py
+++ b/tests/actors/intake/server_steps.py
@@ -1,9 +1,11 @@
 """Steps of the bounded HTTP server, which runs in the test's process."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from re import findall
 from socket import SO_RCVBUF, SOL_SOCKET, create_connection, socket
-from threading import Thread
+from sys import getswitchinterval, setswitchinterval
+from threading import Event, Thread
 from time import sleep
 from typing import Any
 
@@ -16,6 +18,7 @@
     BodyRefused,
     HeadVerdict,
     IntakeLimits,
+    Phase,
     RefusalReason,
     RequestHead,
 )
@@ -28,6 +31,19 @@
 SMALL_PATH = "/small"
 SMALL_BODY_BYTES = 100
 PART = 65_536
+LIMITS = IntakeLimits(
+    MEBIBYTE, 20, 1.0, MEBIBYTE // 2, response_seconds=1.0, head_bytes=16_384
+)
+# Time in which the system passes on what clients send through loopback.
+ARRIVAL_SECONDS = 0.5
+BROKEN_HEAD = b"POST /broken HTTP/1.1\r\nContent-Length: 10\r\n\r\n"
+MALFORMED = {
+    "an invalid address": b"GET http://[ HTTP/1.1\r\n\r\n",
+    "a length of 5000 digits": (
+        b"POST / HTTP/1.1\r\nContent-Length: " + b"1" * 5000 + b"\r\n\r\n"
+    ),
+    "a head whose check fails": BROKEN_HEAD,
+}
 
 
 class EchoApp:
@@ -49,16 +65,27 @@
         return [body]
 
 
+class SwitchInterval:
+    """Time after which the interpreter switches threads, until it is closed."""
+
+    __slots__ = ("_before",)
+
+    def __init__(self, seconds: float) -> None:
+        self._before = getswitchinterval()
+        setswitchinterval(seconds)
+
+    def close(self) -> None:
+        """Set the interval from before."""
+        setswitchinterval(self._before)
+
+
 class Running:
     """A server with its thread."""
 
     __slots__ = ("app", "server", "thread")
 
-    def __init__(self) -> None:
+    def __init__(self, limits: IntakeLimits = LIMITS) -> None:
         self.app = EchoApp()
-        limits = IntakeLimits(
-            MEBIBYTE, 20, 1.0, MEBIBYTE // 2, response_seconds=1.0, head_bytes=16_384
-        )
         options = IntakeOptions("test", limits, 2, check_head)
         self.server = IntakeServer(self.app, "127.0.0.1:0", options)
         self.thread = Thread(target=self.server.run, daemon=True)
@@ -78,6 +105,8 @@
     """Return whether a body may be read."""
     if head.path == REFUSED_PATH:
         return BodyRefused(404, RefusalReason.ACCESS)
+    if head.path == "/broken":
+        raise RuntimeError("the check failed")
     if head.path == SMALL_PATH:
         return BodyAccepted(SMALL_BODY_BYTES)
     return BodyAccepted(MEBIBYTE // 2)
@@ -108,12 +137,38 @@
     return data
 
 
+def read_until_closed(context: Context) -> bytes:
+    """Read until the connection ends."""
+    return b"".join(iter(lambda: context.client.recv(PART), b""))
+
+
 @given("a server with these limits")
 def step_server(context: Context) -> None:
     context.intake = Running()
     context.processes.append(context.intake)
 
 
+@given("a server for {count:d} connections that closes those idle for {idle:d} seconds")
+def step_idle_server(context: Context, count: int, idle: int) -> None:
+    limits = replace(
+        LIMITS, memory_bytes=8 * MEBIBYTE, connections=count, idle_seconds=idle
+    )
+    context.intake = Running(limits)
+    context.processes.append(context.intake)
+
+
+@given("{count:d} idle connections")
+def step_idle_connections(context: Context, count: int) -> None:
+    context.clients = [connect(context) for _ in range(count)]
+    server = context.intake.server
+    wait_until(lambda: len(server.active_channels) == count, "the connections")
+
+
+@given("threads that take turns after each instruction")
+def step_switch(context: Context) -> None:
+    context.processes.append(SwitchInterval(1e-6))
+
+
 @given("a client with an idle connection")
 def step_idle(context: Context) -> None:
     connect(context).sendall(make_head("/done", 0))
@@ -138,6 +193,53 @@
     context.data = read_responses(context, count)
 
 
+@when("{clients:d} clients send {times:d} times {count:d} requests at once")
+def step_many_pipelined(context: Context, clients: int, times: int, count: int) -> None:
+    context.counts = [0] * times
+    context.client_count, context.expected = clients, clients * count
+    sockets = [connect(context) for _ in range(clients)]
+    for index in range(times):
+        for client in sockets:
+            client.sendall((make_head("/a", 4) + b"done") * count)
+        for context.client in sockets:
+            data = read_responses(context, count)
+            context.counts[index] += data.count(b"HTTP/1.1 200 OK")
+
+
+@when("the connections are idle for {seconds:g} seconds")
+def step_wait_idle(context: Context, seconds: float) -> None:
+    sleep(seconds)
+
+
+@when("all of them send a request while the loop is blocked for {seconds:g} seconds")
+def step_blocked(context: Context, seconds: float) -> None:
+    context.intake.server.request_call(lambda: sleep(seconds))
+    sleep(ARRIVAL_SECONDS)
+    for client in context.clients:
+        client.sendall(make_head("/done", 0))
+
+
+@when("all of them send a request after a new client connects in a blocked loop")
+def step_blocked_at_limit(context: Context) -> None:
+    blocked, proceed = Event(), Event()
+    context.intake.server.request_call(lambda: (blocked.set(), proceed.wait()))
+    assert blocked.wait(SOCKET_SECONDS)
+    connect(context)
+    for client in context.clients:
+        client.sendall(make_head("/done", 0))
+    sleep(ARRIVAL_SECONDS)
+    proceed.set()
+
+
+@when("it sends empty lines, and a request after the time for requests")
+def step_empty_lines(context: Context) -> None:
+    context.client.sendall(b"\r\n\r")
+    # Time limits are checked after a turn of the loop, which lasts a second at most.
+    sleep(LIMITS.request_seconds + 1.5)
+    context.client.sendall(b"\n" + make_head("/done", 0))
+    context.data = read_responses(context, 1)
+
+
 @when("a client sends only the head of a request {what}")
 def step_head(context: Context, what: str) -> None:
     heads = {
@@ -150,6 +252,18 @@
     context.data = read_responses(context, 1)
 
 
+@when("a client sends {what} alone")
+def step_malformed(context: Context, what: str) -> None:
+    connect(context).sendall(MALFORMED[what])
+    context.data = read_until_closed(context)
+
+
+@when("a client sends {what} after another request")
+def step_malformed_pipelined(context: Context, what: str) -> None:
+    connect(context).sendall(make_head("/done", 0) + MALFORMED[what])
+    context.data = read_until_closed(context)
+
+
 @when("a client sends {size:d} bytes to a refused path")
 def step_send_refused(context: Context, size: int) -> None:
     client = connect(context)
@@ -195,6 +309,45 @@
     assert found == [str(status).encode()] * count, found
 
 
+@then("all of them get all their responses")
+def step_all_answered(context: Context) -> None:
+    assert set(context.counts) == {context.expected}, context.counts
+
+
+@then("all connections are idle")
+def step_all_idle(context: Context) -> None:
+    conns = context.intake.server.budget.connections.values()
+    # A connection left in another phase is closed in the end, so all are counted.
+    wait_until(
+        lambda: (
+            [conn.phase for conn in list(conns)] == [Phase.IDLE] * context.client_count
+        ),
+        "the end of all requests",
+    )
+
+
+@then("all of them get a response")
+def step_all_get_response(context: Context) -> None:
+    count = 0
+    for client in context.clients:
+        context.client = client
+        count += read_responses(context, 1).startswith(b"HTTP/1.1 200 OK")
+    assert count == len(context.clients), count
+
+
+@then("its last response has status {status:d}")
+def step_last_response(context: Context, status: int) -> None:
+    found = findall(rb"HTTP/1.1 (\d+)", context.data)
+    assert found[-1:] == [str(status).encode()], found
+
+
+@then("a further client gets {count:d} response with status {status:d}")
+def step_further_client(context: Context, count: int, status: int) -> None:
+    connect(context).sendall(make_head("/done", 0))
+    context.data = read_responses(context, count)
+    step_responses(context, count, status)
+
+
 @then("the responses come in the order of the requests")
 def step_order(context: Context) -> None:
     found = findall(rb"/(\d+)done", context.data)
