--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -6,6 +6,7 @@
 
 from geraniumwell.actors.batch.commit_state import (
     CommitState,
+    add_removals,
     affects_claim,
     begin_transaction,
     confirm_transaction,
@@ -15,6 +16,7 @@
 )
 from geraniumwell.actors.batch.end_reporter import EndReporter
 from geraniumwell.actors.batch.feeds import start_feeds
+from geraniumwell.actors.batch.fleet_reporter import FleetReporter
 from geraniumwell.actors.batch.job_sweeper import JobSweeper
 from geraniumwell.actors.batch.messaging import tell
 from geraniumwell.actors.batch.poll_results import apply_poll_result
@@ -49,11 +51,11 @@
     TABLE_JOBS,
     TABLE_PROGRESS,
 )
-from geraniumwell.helpers.batch_log_fields import group_order_fields
+from geraniumwell.helpers.batch_log_fields import format_reason, group_order_fields
 from geraniumwell.helpers.batch_metrics import (
     ORDERS,
-    PLACED_TASKS,
     PLAN_SECONDS,
+    STOPS,
     WAITING_JOBS,
 )
 from geraniumwell.helpers.event_log import EVENT_LOG
@@ -126,6 +128,7 @@
         self._renewal_timer = DueTimer()
         self._feeds: list[ActorRef] = []
         self._end_reporter = EndReporter()
+        self._fleet_reporter = FleetReporter()
         pool = deps.start_connection_pool(claim.row.epoch, self.actor_ref)
         self._caller = WorkerCaller(pool)
 
@@ -187,7 +190,7 @@
             case Tick("resend"):
                 self._resend()
             case JobRowsRemoved(ids):
-                self._commits.removals += ids
+                add_removals(self._commits, self._cluster, ids)
             case ActorFailed(name):
                 self._end(f"the actor {name} has failed")
         self._run_due_actions()
@@ -346,6 +349,7 @@
                     self._commits.orders.append(order)
                 case StopTask():
                     stops.append(order)
+                    STOPS.labels(format_reason(order)).inc()
                     valid_until = self._commits.valid_until
                     self._caller.send_stop(self._cluster, order, valid_until)
         for fields in group_order_fields(stops):
@@ -382,7 +386,7 @@
         if expired := remove_expired_jobs(self._cluster, wall_now):
             self._end_reporter.forget(expired)
             tell(self._sweeper, RemoveJobRows(tuple(expired)))
-        PLACED_TASKS.set(sum(len(w.tasks) for w in self._cluster.workers.values()))
+        self._fleet_reporter.report(self._cluster, boottime_seconds())
 
     def _run_due_actions(self) -> None:
         """Renew the claim and poll workers if that has become due."""
--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -108,6 +108,35 @@
     return [step.occurrence, step.step, step.gang_failures, step.failed_run, tasks]
 
 
+def encode_stalls(job: Job) -> bytes:
+    """Return the row of a job's stalls.
+
+    It is not part of the progress row, which earlier versions could not read then.
+    """
+    return _pack(
+        [
+            [step.occurrence, step.step, step.stalls, step.stall_suspects]
+            for step in job.steps.values()
+            if step.stalls
+        ]
+    )
+
+
+def decode_stalls(data: bytes, job: Job) -> None:
+    """Restore the stalls of a job from their row.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    for occurrence, number, stalls, suspects in _unpack(
+        data, list[tuple[int, int, int, tuple[str, ...]]]
+    ):
+        if step := job.steps.get((occurrence, number)):
+            step.stalls, step.stall_suspects = stalls, suspects
+
+
 def decode_state(data: bytes) -> tuple[JobState, bool]:
     """Return the state in a progress row, and whether the job has begun.
 
--- a/geraniumwell/commands/batch/placement.py
+++ b/geraniumwell/commands/batch/placement.py
@@ -37,6 +37,7 @@
     unit: Unit,
     may_use_headroom: bool,
     is_remote_allowed: Callable[[], bool],
+    is_usable: Callable[[WorkerCapacity], bool] | None = None,
 ) -> Placement:
     """Return a placement of a unit on free capacity; empty if there is none.
 
@@ -47,16 +48,50 @@
     is_remote_allowed : callable
         Returns whether tasks may run outside their preferred rack. Called only if the
         answer affects the placement.
+    is_usable : callable or None
+        Returns whether a worker may be used; None if all of them may.
+
+    Notes
+    -----
+    A gang is placed in one data centre if it fits into one: if any member's data centre
+    is cut off from the others, the whole gang is lost.
     """
     buckets = [pool.general, pool.headroom] if may_use_headroom else [pool.general]
     if not may_fit(buckets, unit):
         return []
-    if not unit.spec.rack and not unit.spec.is_same_rack:
-        return fill(iterate_fitting(buckets, unit), unit)
+    is_local = bool(unit.spec.rack or unit.spec.is_same_rack)
+    if not is_local and not unit.spec.is_gang:
+        return fill(iterate_fitting(buckets, unit, is_usable), unit)
+    fitting = list(iterate_fitting(buckets, unit, is_usable))
+    if is_local:
+        found = place_locally(fitting, unit)
+        if found or not is_remote_allowed():
+            return found
+    return place_in_one_group(fitting, unit, get_data_centre) or fill(fitting, unit)
+
+
+def place_in_order(
+    pool: Pool,
+    unit: Unit,
+    may_use_headroom: bool,
+    has_property: Callable[[WorkerCapacity], bool],
+    preferred: bool,
+) -> Placement:
+    """Return a placement of independent tasks that fills preferred workers first.
+
+    Empty for tasks that prefer a rack: data in the rack matters more.
+
+    Parameters
+    ----------
+    has_property : callable
+        Returns the property of a worker that has to equal ``preferred``.
+    """
+    if unit.spec.rack or unit.spec.is_same_rack:
+        return []
+    buckets = [pool.general, pool.headroom] if may_use_headroom else [pool.general]
     fitting = list(iterate_fitting(buckets, unit))
-    return place_locally(fitting, unit) or (
-        fill(fitting, unit) if is_remote_allowed() else []
-    )
+    fitting.sort(key=lambda item: has_property(item[0]) is not preferred)
+    return fill(fitting, unit)
 
 
 def place(
@@ -85,7 +120,15 @@
             item for item in fitting if item[0].worker.entry.rack == unit.spec.rack
         ]
         return fill(local, unit)
-    return place_in_one_rack(fitting, unit)
+    return place_in_one_group(fitting, unit, get_rack)
+
+
+def is_placed_locally(placement: Placement, unit: Unit) -> bool:
+    """Return whether a placement is in the preferred rack, if there is one."""
+    racks = {capacity.worker.entry.rack for capacity, _ in placement}
+    if unit.spec.rack:
+        return racks == {unit.spec.rack}
+    return not unit.spec.is_same_rack or len(racks) == 1
 
 
 def could_fit_locally(capacities: Iterable[WorkerCapacity], unit: Unit) -> bool:
@@ -95,7 +138,8 @@
         return bool(find_fitting(capacities, unit, get_total))
     if not unit.spec.is_same_rack:
         return True
-    return bool(place_in_one_rack(find_fitting(capacities, unit, get_total), unit))
+    fitting = find_fitting(capacities, unit, get_total)
+    return bool(place_in_one_group(fitting, unit, get_rack))
 
 
 def may_fit(buckets: list[CapacityBuckets], unit: Unit) -> bool:
@@ -115,7 +159,9 @@
 
 
 def iterate_fitting(
-    buckets: list[CapacityBuckets], unit: Unit
+    buckets: list[CapacityBuckets],
+    unit: Unit,
+    is_usable: Callable[[WorkerCapacity], bool] | None = None,
 ) -> Iterator[tuple[WorkerCapacity, int]]:
     """Yield the workers on which tasks of a unit fit now, the least free one first."""
     levels = sorted({free for bucket in buckets for free in bucket})
@@ -123,7 +169,10 @@
         if free < unit.spec.needs.accelerators:
             continue
         capacities = [
-            capacity for bucket in buckets for capacity in bucket.get(free, {}).values()
+            capacity
+            for bucket in buckets
+            for capacity in bucket.get(free, {}).values()
+            if is_usable is None or is_usable(capacity)
         ]
         yield from find_fitting(capacities, unit, get_free)
 
@@ -156,17 +205,29 @@
     return (amount.accelerators, amount.memory_mb, amount.cpu_millis, name)
 
 
-def place_in_one_rack(fitting: Placement, unit: Unit) -> Placement:
-    """Return a placement in the rack that has the least capacity left after it.
+def get_rack(capacity: WorkerCapacity) -> str:
+    """Return the rack of a worker."""
+    return capacity.worker.entry.rack
+
+
+def get_data_centre(capacity: WorkerCapacity) -> str:
+    """Return the data centre of a worker."""
+    return capacity.worker.entry.data_centre
+
+
+def place_in_one_group(
+    fitting: Placement, unit: Unit, get_group: Callable[[WorkerCapacity], str]
+) -> Placement:
+    """Return a placement in the group that has the least capacity left after it.
 
-    It is empty if the unit fits into no rack.
+    Groups are racks or data centres. The placement is empty if the unit fits into none.
     """
-    by_rack: dict[str, Placement] = {}
+    by_group: dict[str, Placement] = {}
     for item in fitting:
-        by_rack.setdefault(item[0].worker.entry.rack, []).append(item)
+        by_group.setdefault(get_group(item[0]), []).append(item)
     best: Placement = []
     best_unused = 0
-    for items in by_rack.values():
+    for items in by_group.values():
         found = fill(items, unit)
         if not found:
             continue
--- a/geraniumwell/commands/batch/planning.py
+++ b/geraniumwell/commands/batch/planning.py
@@ -1,32 +1,35 @@
 """A planning round: decides which tasks are stopped and which are started."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from geraniumwell.commands.batch.capacity import find_reserved_resources
 from geraniumwell.commands.batch.ends import mark_gang_broken
 from geraniumwell.commands.batch.evacuation import evacuate_draining_workers
 from geraniumwell.commands.batch.headroom import may_use_headroom
-from geraniumwell.commands.batch.health import record_stall
 from geraniumwell.commands.batch.indexing import allocate, refresh_fleet
 from geraniumwell.commands.batch.leases import find_expired_workers
 from geraniumwell.commands.batch.lifecycle import (
     find_step_run,
+    list_gang,
     mark_job_unsaved,
     release_task,
     request_stop,
+    stop_gang,
 )
 from geraniumwell.commands.batch.placement import (
     Placement,
     could_fit_locally,
     get_free_after_stops,
+    is_placed_locally,
     place,
+    place_in_order,
     place_now,
 )
-from geraniumwell.commands.batch.preemption import (
-    find_preemption,
-    is_guaranteed,
-    stop_gang,
-)
-from geraniumwell.commands.batch.priorities import URGENT_PRIORITY
+from geraniumwell.commands.batch.preemption import find_preemption, is_guaranteed
+from geraniumwell.commands.batch.priorities import URGENT_PRIORITY, find_step_spec
+from geraniumwell.commands.batch.progress import is_paused, stop_stalled
+from geraniumwell.commands.batch.resumption import is_resuming, keep_former_workers
+from geraniumwell.commands.batch.speeds import can_afford_slow_worker
 from geraniumwell.commands.batch.units import open_occurrences, refresh_queue
 from geraniumwell.model.batch.capacity import Pool, WorkerCapacity
 from geraniumwell.model.batch.cluster import (
@@ -35,18 +38,13 @@
     StartTask,
     StopTask,
 )
-from geraniumwell.model.batch.job import ENDED_STATES, Phase, StepRun, Task
+from geraniumwell.model.batch.job import ENDED_STATES, Phase, StepRun, StopReason, Task
 from geraniumwell.model.batch.unit import PlacementShape, Unit
 
 # Time in which the other members of a broken gang end by themselves on healthy workers.
 BROKEN_GANG_SECONDS = 0.8
 # Time after which a stop order without effect is sent again.
 STOP_REPEAT_SECONDS = 1.0
-# Time without progress after which a task counts as stalled. Progress is reported in
-# whole percent, and workers are polled every two seconds. The time is measured on the
-# worker's clock, because a report that is processed late, by a daemon that was paused
-# or busy, describes an earlier state.
-STALL_MS = 6_000
 # Time after which a guaranteed unit may run outside its preferred rack. It takes
 # several seconds longer there, but it has to start within about 3 s.
 GUARANTEED_LOCAL_WAIT_SECONDS = 1.3
@@ -64,6 +62,9 @@
     ----------
     unfit : set
         Shapes that fit on no worker, each with whether the headroom was tried too.
+    unfit_by_speed : set
+        Gang shapes that fit on workers of both speeds only, each with whether the
+        headroom was tried too and whether slow workers were preferred.
     unpreemptible : set of PlacementShape
         Shapes that would not fit after a preemption either.
     fits_locally : dict
@@ -71,6 +72,9 @@
     """
 
     unfit: set[tuple[PlacementShape, bool]] = field(default_factory=set)
+    unfit_by_speed: set[tuple[PlacementShape | None, bool, bool]] = field(
+        default_factory=set
+    )
     unpreemptible: set[PlacementShape] = field(default_factory=set)
     fits_locally: dict[PlacementShape, bool] = field(default_factory=dict)
 
@@ -86,7 +90,7 @@
     orders += evacuate_draining_workers(cluster, now)
     refresh_fleet(cluster, now)
     refresh_queue(cluster, now, wall_now)
-    orders += place_units(cluster, now)
+    orders += place_units(cluster, now, wall_now)
     return orders
 
 
@@ -113,31 +117,7 @@
         if cluster.jobs[key[0]].state in ENDED_STATES:
             continue
         for task in step.tasks:
-            orders += request_stop(cluster, task, now)
-    return orders
-
-
-def stop_stalled(cluster: Cluster, now: float) -> list[Order]:
-    """Stop tasks that make no progress although their worker reports them.
-
-    Only changed workers are checked, because each report marks its worker as changed.
-    """
-    orders: list[Order] = []
-    for name in sorted(cluster.changed_workers):
-        worker = cluster.workers.get(name)
-        if worker is None:
-            continue
-        for task in list(worker.tasks.values()):
-            if task.phase is not Phase.RUNNING:
-                continue
-            since_ms = task.progressed_clock_ms
-            if since_ms is None or worker.clock_ms - since_ms < STALL_MS:
-                continue
-            job = cluster.jobs[task.id.job]
-            if job.spec.steps[task.id.step].is_long_running:
-                continue
-            record_stall(worker, now)
-            orders += stop_gang(cluster, task, now)
+            orders += request_stop(cluster, task, StopReason.GANG_BROKEN, now)
     return orders
 
 
@@ -149,36 +129,64 @@
             del cluster.stopping_tasks[task.id]
         elif now - task.stopped_at >= STOP_REPEAT_SECONDS:
             task.stopped_at = now
-            orders.append(StopTask(task.worker, task.id, task.run))
+            orders.append(StopTask(task.worker, task.id, task.run, task.stop_reason))
     return orders
 
 
-def place_units(cluster: Cluster, now: float) -> list[Order]:
+def place_units(cluster: Cluster, now: float, wall_now: float) -> list[Order]:
     """Start units that fit, in order of urgency, and preempt for guaranteed units."""
     orders: list[Order] = []
     cache = RoundCache()
+    postponed: list[Unit] = []
     use = dict(cluster.fleet.urgent_use)
     for unit in list(cluster.queue.units):
         pool = cluster.fleet.pools.get(unit.service)
         if pool is None:
             continue
+        if unit.priority != URGENT_PRIORITY and postponed:
+            # Guaranteed units come before the gangs that only had to stop.
+            for stopped in postponed:
+                keep_former_workers(cluster, pool, stopped)
+            postponed.clear()
         may_preempt = is_guaranteed(cluster, unit, use)
-        found = find_placement(pool, unit, may_preempt, cache, now)
+        if not unit.is_complete:
+            if is_resuming(unit, now):
+                postponed.append(unit)
+            continue
+        if is_paused(pool, unit, may_preempt, now):
+            continue
+        found = find_placement(pool, unit, may_preempt, cache, now, wall_now)
         if found:
             orders += start_unit(cluster, unit, found, now)
-            if unit.priority == URGENT_PRIORITY:
-                taken = sum(count for _, count in found) * unit.spec.needs.accelerators
-                use[unit.organisation] = use.get(unit.organisation, 0) + taken
+            count_urgent_use(use, unit, sum(count for _, count in found))
         elif may_preempt and unit.shape not in cache.unpreemptible:
-            orders += preempt(cluster, pool, unit, cache, now)
+            stops, is_reserved = preempt(cluster, pool, unit, cache, now)
+            orders += stops
+            if is_reserved:
+                count_urgent_use(use, unit, len(unit.ids))
+        elif is_resuming(unit, now):
+            postponed.append(unit)
     return orders
 
 
+def count_urgent_use(use: dict[str, int], unit: Unit, tasks: int) -> None:
+    """Count accelerators of urgent tasks against their organisation's guarantee."""
+    if unit.priority == URGENT_PRIORITY:
+        taken = tasks * unit.spec.needs.accelerators
+        use[unit.organisation] = use.get(unit.organisation, 0) + taken
+
+
 def find_placement(
-    pool: Pool, unit: Unit, may_preempt: bool, cache: RoundCache, now: float
+    pool: Pool,
+    unit: Unit,
+    may_preempt: bool,
+    cache: RoundCache,
+    now: float,
+    wall_now: float,
 ) -> Placement:
     """Return a placement of a unit on free capacity; cache shapes that do not fit."""
-    can_use_headroom = may_use_headroom(pool, unit, now)
+    # A gang that had to stop needs only the capacity of one member more.
+    can_use_headroom = may_use_headroom(pool, unit, now) or is_resuming(unit, now)
     if (unit.shape, can_use_headroom) in cache.unfit:
         return []
     is_waiting_for_rack = False
@@ -194,6 +202,58 @@
     # Others of the same shape may have waited longer, so waiting is not cached.
     if not found and not is_waiting_for_rack and unit.shape is not None:
         cache.unfit.add((unit.shape, can_use_headroom))
+    if not found or not pool.slow_workers:
+        return found
+    return place_by_speed(pool, unit, found, can_use_headroom, cache, wall_now)
+
+
+def place_by_speed(
+    pool: Pool,
+    unit: Unit,
+    found: Placement,
+    can_use_headroom: bool,
+    cache: RoundCache,
+    wall_now: float,
+) -> Placement:
+    """Return a placement on workers of the preferred speed, or ``found``.
+
+    Work that can afford it takes slow workers first, so that fast ones stay free for
+    urgent work. A gang on both kinds would take as long as on slow workers alone, so it
+    is placed on one kind if it fits there.
+    """
+    prefers_slow = unit.priority != URGENT_PRIORITY and can_afford_slow_worker(
+        pool, unit, wall_now
+    )
+    slow = pool.slow_workers
+    kinds = {capacity.worker.entry.id in slow for capacity, _ in found}
+    key = (unit.shape, can_use_headroom, prefers_slow)
+    if kinds == {prefers_slow} or key in cache.unfit_by_speed:
+        return found
+    if not unit.spec.is_gang:
+        return (
+            place_in_order(
+                pool,
+                unit,
+                can_use_headroom,
+                lambda c: c.worker.entry.id in slow,
+                prefers_slow,
+            )
+            or found
+        )
+    is_local = is_placed_locally(found, unit)
+    choices = [prefers_slow] if len(kinds) == 1 else [prefers_slow, not prefers_slow]
+    for wants_slow in choices:
+        better = place_now(
+            pool,
+            unit,
+            can_use_headroom,
+            lambda: not is_local,
+            lambda c, wanted=wants_slow: (c.worker.entry.id in slow) is wanted,
+        )
+        if better:
+            return better
+    if unit.shape is not None:
+        cache.unfit_by_speed.add(key)
     return found
 
 
@@ -240,7 +300,8 @@
                 StartTask(task.worker, task.id, task.run, job.spec.payload, saved)
             )
         allocate(cluster, capacity, unit, count)
-    step.broken_at = 0.0
+    step.broken_at = step.resumed_since = 0.0
+    step.former_workers = ()
     mark_job_unsaved(cluster, job.spec.id)
     return orders
 
@@ -253,8 +314,10 @@
     task.worker = capacity.worker.entry.id
     task.start_settled_at = None
     task.is_start_sent = False
-    task.stopped_at = None
+    task.stopped_at = task.stop_reason = None
     task.progress = 0
+    task.base_clock_ms = None
+    task.has_speed_sample = False
     task.started_at = task.progressed_at = now
     capacity.worker.tasks[task.id] = task
     cluster.mark_worker_changed(task.worker)
@@ -267,10 +330,11 @@
 
 def preempt(
     cluster: Cluster, pool: Pool, unit: Unit, cache: RoundCache, now: float
-) -> list[Order]:
+) -> tuple[list[Order], bool]:
     """Preempt tasks for a guaranteed unit, and reserve the capacity for it.
 
-    No further task is stopped if the unit fits once the stopping tasks have ended.
+    Return the stop orders, and whether the unit fits once the stopped tasks have ended.
+    No further task is stopped if the tasks that stop already are sufficient.
     """
     capacities = list(pool.capacities.values())
     found = place(
@@ -279,18 +343,33 @@
         get_free_after_stops,
         lambda: is_remote_allowed(pool, unit, True, cache, now),
     )
-    if found:
-        for capacity, count in found:
-            allocate(cluster, capacity, unit, count)
-        return []
-    preemption = find_preemption(cluster, capacities, unit, now)
+    for capacity, count in found:
+        allocate(cluster, capacity, unit, count)
+    placed = sum(count for _, count in found)
+    if placed == len(unit.ids):
+        return [], True
+    rest = replace(unit, ids=unit.ids[placed:])
+    preemption = find_preemption(cluster, capacities, rest, now)
     if preemption is None:
         if unit.shape is not None:
             cache.unpreemptible.add(unit.shape)
-        return []
+        return [], False
     orders: list[Order] = []
     for victim in preemption.victims:
-        orders += stop_gang(cluster, victim, now)
+        for member in list_gang(cluster, victim):
+            release_early(cluster, pool, member)
+        orders += stop_gang(cluster, victim, StopReason.PREEMPTED, now)
     for capacity, count in preemption.placement:
         allocate(cluster, capacity, unit, count)
-    return orders
+    return orders, True
+
+
+def release_early(cluster: Cluster, pool: Pool, task: Task) -> None:
+    """Count the capacity of a task that is about to stop as free after the stops.
+
+    Other guaranteed units of the same round then need not stop further tasks.
+    """
+    capacity = pool.capacities.get(task.worker)
+    if capacity is not None and task.phase in (Phase.STARTING, Phase.RUNNING):
+        spec = find_step_spec(cluster, task.id)
+        capacity.free_after_stops.add(find_reserved_resources(spec))
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -25,6 +25,19 @@
     "geraniumwell_batch_late_looks",
     "Looks that extended no lease, because the claim ran out before they were sent.",
 )
+STOPS = Counter(
+    "geraniumwell_batch_stops",
+    "Stop orders to workers, repeated ones included, by reason.",
+    ("reason",),
+)
+SLOW_WORKERS = Gauge(
+    "geraniumwell_batch_slow_workers",
+    "Workers that are much slower than most others of their service.",
+)
+AVOIDED_WORKERS = Gauge(
+    "geraniumwell_batch_avoided_workers",
+    "Workers that get no new tasks after failures, refusals or stalls.",
+)
 RUN_ENDS = Counter("geraniumwell_batch_ends", "Ends of runs by kind.", ("kind",))
 PLAN_SECONDS = Histogram(
     "geraniumwell_batch_plan_seconds",
