--- a/geraniumwell/platform/client_server.py
+++ b/geraniumwell/platform/client_server.py
@@ -5,14 +5,14 @@
 from geraniumwell.actors.intake.channel import IntakeChannel
 from geraniumwell.actors.intake.server import IntakeServer
 from geraniumwell.helpers.batch_metrics import CALLS
-from geraniumwell.model.intake import RefusalReason
+from geraniumwell.model.intake import BodyRefused, RefusalReason
 
 
-def count_refusal(reason: RefusalReason) -> tuple[tuple[str, str], ...]:
-    """Count a body that its length alone refuses; return no more headers."""
+def make_refusal(reason: RefusalReason, status: int) -> BodyRefused:
+    """Return a refusal that the server itself sends; count a body that is too large."""
     if reason is RefusalReason.BODY_SIZE:
         _count_large_body()
-    return ()
+    return BodyRefused(status, reason)
 
 
 def _count_large_body() -> None:
--- a/geraniumwell/platform/daemon.py
+++ b/geraniumwell/platform/daemon.py
@@ -43,7 +43,7 @@
 from geraniumwell.model.batch.peer import Peer
 from geraniumwell.model.intake import IntakeLimits
 from geraniumwell.platform.client_app import ClientApp
-from geraniumwell.platform.client_server import ClientServer, count_refusal
+from geraniumwell.platform.client_server import ClientServer, make_refusal
 from geraniumwell.platform.decode import (
     decode_catalog,
     decode_entry,
@@ -262,7 +262,7 @@
     limits, _ = make_limits(cfg)
     head_check = HeadCheck(limits.body_bytes)
     options = IntakeOptions(
-        "clients", limits, CLIENT_THREADS, head_check.check, count_refusal
+        "clients", limits, CLIENT_THREADS, head_check.check, make_refusal
     )
     server = ClientServer(app, cfg.callers, options)
     forwarder = CatalogForwarder.start(
