--- a/geraniumwell/actors/caller_server.py
+++ b/geraniumwell/actors/caller_server.py
@@ -9,12 +9,14 @@
 from waitress.task import ErrorTask
 from waitress.utilities import InternalServerError
 
-from geraniumwell.actors.draining_server import DrainingChannel, DrainingServer
+from geraniumwell.actors.intake.channel import IntakeChannel
+from geraniumwell.actors.intake.server import IntakeOptions, IntakeServer
 from geraniumwell.codec.http import (
     answer_readiness,
     answer_tickets,
     check_request_id,
     find_route,
+    list_answer_headers,
     make_refusal,
     read_organisation,
     read_request,
@@ -23,6 +25,8 @@
     refuse_error,
     render_head,
 )
+from geraniumwell.codec.intake import make_path_info
+from geraniumwell.commands.intake.serve_limits import derive_server_limits
 from geraniumwell.const import (
     ATTR_CODE,
     ATTR_OUTCOME,
@@ -38,6 +42,13 @@
     ReadReadiness,
     SubmitRequest,
 )
+from geraniumwell.model.intake import (
+    BodyAccepted,
+    BodyRefused,
+    HeadVerdict,
+    RefusalReason,
+    RequestHead,
+)
 from geraniumwell.model.request import Answer, Outcome, RefusalCode
 from geraniumwell.model.settings import Settings
 from geraniumwell.util.clock import monotonic_seconds
@@ -46,8 +57,14 @@
 # The dispatcher answers by the deadline; no reply after this time means a failure.
 REPLY_GRACE_SECONDS = 2.0
 QUERY_SECONDS = 5.0
-# The listening socket and the wake-up pipe of waitress count as connections too.
-OWN_CHANNELS = 2
+# Routes that need no token.
+OPEN_ROUTES = frozenset({"healthz", "readyz"})
+CODE_BY_REASON = {
+    RefusalReason.MEMORY: RefusalCode.OVERLOADED,
+    RefusalReason.CONNECTIONS: RefusalCode.OVERLOADED,
+    RefusalReason.REQUEST_TIME: RefusalCode.DEADLINE_EXPIRED,
+    RefusalReason.BODY_SIZE: RefusalCode.BODY_TOO_LARGE,
+}
 # Time for callers that have sent only part of a request to send the rest.
 PARTIAL_REQUEST_SECONDS = 2.0
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -67,9 +84,10 @@
         Counts requests that are refused before they reach the dispatcher.
     """
 
-    __slots__ = ("_dispatcher", "_organisations", "metrics")
+    __slots__ = ("_body_bytes", "_dispatcher", "_organisations", "metrics")
 
     def __init__(self, cfg: Settings, dispatcher: ActorRef, metrics: Metrics) -> None:
+        self._body_bytes = cfg.limits.body_bytes - 1
         self._dispatcher = dispatcher
         self.metrics = metrics
         self._organisations = {t.token: t.organisation for t in cfg.caller_tokens}
@@ -82,6 +100,36 @@
         start_response(*render_head(answer))
         return [answer.body]
 
+    def check_head(self, head: RequestHead) -> HeadVerdict:
+        """Return whether the body of a request may be read.
+
+        A refusal is the same as that of a request which has arrived completely.
+        """
+        environ = {f"HTTP_{name}": value for name, value in head.headers.items()}
+        try:
+            request_id = read_request_id(environ)
+        except CallerError as exc:
+            return self._refuse_body(make_request_id(), exc)
+        try:
+            route = find_route(head.method, make_path_info(head.path))
+            if route.name not in OPEN_ROUTES:
+                read_organisation(environ, self._organisations)
+        except CallerError as exc:
+            return self._refuse_body(request_id, exc)
+        return BodyAccepted(self._body_bytes)
+
+    def make_refusal(self, reason: RefusalReason, status: int) -> BodyRefused:
+        """Return and count a refusal that the server itself sends."""
+        code, message = CODE_BY_REASON[reason], "the request was not complete"
+        self.metrics.count_refusal(code)
+        answer = make_refusal(make_request_id(), code, status, message)
+        headers = (
+            (ATTR_REQUEST_ID, answer.request_id),
+            (ATTR_OUTCOME, answer.outcome.value),
+            (ATTR_CODE, code.value),
+        )
+        return BodyRefused(status, reason, headers, answer.body)
+
     def _answer(self, environ: dict[str, Any]) -> Answer:
         try:
             request_id = read_request_id(environ)
@@ -100,6 +148,11 @@
         self.metrics.count_refusal(RefusalCode(exc.code))
         return refuse_error(request_id, exc)
 
+    def _refuse_body(self, request_id: str, exc: CallerError) -> BodyRefused:
+        answer = self._refuse(request_id, exc)
+        headers = tuple(list_answer_headers(answer))
+        return BodyRefused(answer.status, RefusalReason.ACCESS, headers, answer.body)
+
     def _handle(self, environ: dict[str, Any], request_id: str) -> Answer:
         route = find_route(environ["REQUEST_METHOD"], environ["PATH_INFO"])
         if route.name == "healthz":
@@ -160,17 +213,15 @@
         super().execute()
 
 
-class CallerChannel(DrainingChannel):
+class CallerChannel(IntakeChannel):
     """Connection of one caller."""
 
-    __slots__ = ()
     error_task_class = CallerErrorTask
 
 
-class CallerWsgiServer(DrainingServer):
+class CallerWsgiServer(IntakeServer):
     """Server whose own refusals carry the headers that all responses carry."""
 
-    __slots__ = ()
     channel_class = CallerChannel
 
 
@@ -210,16 +261,10 @@
 
 def make_server(cfg: Settings, app: CallerApp) -> CallerWsgiServer:
     """Return the waitress server for callers."""
+    limits, _ = derive_server_limits(cfg.limits)
+    options = IntakeOptions(
+        "callers", limits, limits.connections, app.check_head, app.make_refusal
+    )
     return CallerWsgiServer(
-        app,
-        listen=cfg.listen.callers,
-        threads=cfg.limits.connections,
-        connection_limit=cfg.limits.connections + OWN_CHANNELS,
-        max_request_body_size=cfg.limits.body_bytes,
-        # VMs have no disks, so bodies must never overflow into a file.
-        inbuf_overflow=cfg.limits.body_bytes * 2,
-        outbuf_overflow=RESPONSE_LIMIT_BYTES * 2,
-        asyncore_use_poll=True,
-        clear_untrusted_proxy_headers=False,
-        ident=None,
+        app, cfg.listen.callers, options, outbuf_overflow=RESPONSE_LIMIT_BYTES * 2
     )
