--- a/tests/platform/client_server_steps.py
+++ b/tests/platform/client_server_steps.py
@@ -11,7 +11,7 @@
 
 from geraniumwell.actors.intake.server import IntakeOptions
 from geraniumwell.model.intake import IntakeLimits
-from geraniumwell.platform.client_server import ClientServer, count_refusal
+from geraniumwell.platform.client_server import ClientServer, make_refusal
 from geraniumwell.platform.head_check import HeadCheck
 from tests.support.batch import make_test_catalog
 from tests.support.processes import wait_until
@@ -41,7 +41,7 @@
     check = HeadCheck(BODY_BYTES)
     check.set_catalog(make_test_catalog())
     limits = IntakeLimits(MEMORY_BYTES, 20, 5.0, BODY_BYTES)
-    options = IntakeOptions("clients", limits, 1, check.check, count_refusal)
+    options = IntakeOptions("clients", limits, 1, check.check, make_refusal)
     context.server = ClientServer(refuse_call, "127.0.0.1:0", options)
     thread = Thread(target=context.server.run, daemon=True)
     thread.start()
