--- a/geraniumwell/actors/operator_server.py
+++ b/geraniumwell/actors/operator_server.py
@@ -8,11 +8,13 @@
 
 from loguru import logger
 from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
-from waitress.server import create_server
 
+from geraniumwell.actors.intake.server import IntakeOptions, IntakeServer
 from geraniumwell.actors.statements import StatementRunner
 from geraniumwell.actors.tls_server import TlsServer
+from geraniumwell.codec.intake import make_path_info
 from geraniumwell.codec.json import encode_json
+from geraniumwell.commands.intake.serve_limits import derive_server_limits
 from geraniumwell.const import ATTR_COMMAND_ID
 from geraniumwell.exceptions import (
     ChangeError,
@@ -22,15 +24,23 @@
 )
 from geraniumwell.language.parser import parse_statements
 from geraniumwell.language.printer import print_statement
+from geraniumwell.model.intake import (
+    BodyAccepted,
+    BodyRefused,
+    HeadVerdict,
+    RefusalReason,
+    RequestHead,
+)
 from geraniumwell.model.reply import ErrorReply, StatementReply, StatementsReply
 from geraniumwell.model.settings import Settings
 from geraniumwell.queries.refusals import CounterSample
 from geraniumwell.util.ids import make_token_hex
 
 STATEMENTS_PATH = "/v1/statements"
+KNOWN_CALLS = frozenset({("GET", "/metrics"), ("POST", STATEMENTS_PATH)})
+ACCESS_HEADERS = {401: (("WWW-Authenticate", "Bearer"),)}
 # Statements may wait for the platform, so a few of them must not block the others.
 THREADS = 8
-CONNECTION_LIMIT = 64
 REQUEST_METRICS = frozenset(
     f"geraniumwell_{name}" for name in ("requests", "refusals", "retries")
 )
@@ -103,21 +113,35 @@
         """Answer one HTTP request."""
         status, content_type, body = self._handle(environ)
         headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
-        if status == 401:
-            headers.append(("WWW-Authenticate", "Bearer"))
+        headers += ACCESS_HEADERS.get(status, ())
         start_response(f"{status} {STATUS_TEXTS[status]}", headers)
         return [body]
 
+    def check_head(self, head: RequestHead) -> HeadVerdict:
+        """Return whether the body of a request may be read."""
+        author = self._find_author(head.headers.get("AUTHORIZATION", ""))
+        refusal = _check_access(author, head.method, make_path_info(head.path))
+        if refusal is None:
+            return BodyAccepted(self._body_bytes - 1)
+        status, _, body = refusal
+        headers = ACCESS_HEADERS.get(status, ())
+        return BodyRefused(status, RefusalReason.ACCESS, headers, body)
+
+    def make_refusal(self, reason: RefusalReason, status: int) -> BodyRefused:
+        """Return a refusal that the server itself sends."""
+        text = f"the request was not complete ({reason.value})"
+        _, _, body = _refuse(status, "request_refused", text)
+        return BodyRefused(status, reason, body=body)
+
     def _handle(self, environ: dict[str, Any]) -> HttpAnswer:
         author = self._find_author(environ.get("HTTP_AUTHORIZATION", ""))
-        if author is None:
-            return _refuse(401, "unauthorised", "no settings name this token")
-        match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
-            case "GET", "/metrics":
-                return 200, CONTENT_TYPE_LATEST, generate_latest()
-            case "POST", "/v1/statements":
-                return self._handle_statements(environ, author)
-        return _refuse(404, "not_found", f"expected POST {STATEMENTS_PATH}")
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        refusal = _check_access(author, method, path)
+        if refusal is not None:
+            return refusal
+        if path == STATEMENTS_PATH:
+            return self._handle_statements(environ, author)
+        return 200, CONTENT_TYPE_LATEST, generate_latest()
 
     def _find_author(self, header: str) -> str | None:
         given = header.removeprefix("Bearer ").encode()
@@ -161,6 +185,15 @@
         return 200, StatementsReply(base_id, tuple(results))
 
 
+def _check_access(author: str | None, method: str, path: str) -> HttpAnswer | None:
+    """Return the refusal of a call, or None if it may be served."""
+    if author is None:
+        return _refuse(401, "unauthorised", "no settings name this token")
+    if (method, path) not in KNOWN_CALLS:
+        return _refuse(404, "not_found", f"expected POST {STATEMENTS_PATH}")
+    return None
+
+
 def _refuse(status: int, code: str, text: str) -> HttpAnswer:
     reply = StatementsReply("", error=ErrorReply(code, text))
     return status, "application/json", encode_json(reply)
@@ -175,17 +208,14 @@
     __slots__ = ("_server", "_thread")
 
     def __init__(self, cfg: Settings, app: OperatorApp) -> None:
+        _, limits = derive_server_limits(cfg.limits)
+        options = IntakeOptions(
+            "operators", limits, THREADS, app.check_head, app.make_refusal
+        )
         if cfg.tls is not None:
-            self._server: Any = TlsServer(cfg.listen.operators, cfg.tls, app, THREADS)
+            self._server: Any = TlsServer(cfg.listen.operators, cfg.tls, app, options)
         else:
-            self._server = create_server(
-                app,
-                listen=cfg.listen.operators,
-                threads=THREADS,
-                connection_limit=CONNECTION_LIMIT,
-                max_request_body_size=cfg.limits.body_bytes,
-                ident=None,
-            )
+            self._server = IntakeServer(app, cfg.listen.operators, options)
         self._thread = Thread(target=self._server.run, name="operators", daemon=True)
 
     @property
@@ -199,4 +229,4 @@
 
     def close(self) -> None:
         """Stop accepting connections."""
-        self._server.close()
+        self._server.request_drain()
