Keep a transaction of the scheduler within the store's 100 entries

Cause: the rows of stalls and the row of interference were built side by side, and each took the entries that were left. With 80 jobs, 15 removals, three stall rows and the row of interference, a transaction had 101 entries; the store would reject it each time that it is sent again.

Change: two stall rows in a transaction. A docstring of list_options no longer claims an order that combine_options does not need.

Before: the new scenario fails with 101 entries. After: it passes, with 100; commit_state, scheduler, preemption and planning pass.

--- a/geraniumwell/actors/batch/commit_state.py
+++ b/geraniumwell/actors/batch/commit_state.py
@@ -44,10 +44,10 @@
 from geraniumwell.queries.batch.status import count_pending
 
 # The store accepts 100 entries in a transaction; the claim takes one write and one
-# condition, and the evidence of interference one write.
+# condition, and the evidence of interference one write; the sum must not exceed 100.
 JOBS_PER_TRANSACTION = 80
 REMOVALS_PER_TRANSACTION = 15
-STALL_ROWS_PER_TRANSACTION = 3
+STALL_ROWS_PER_TRANSACTION = 2
 # Suffix of the key of the row that holds a job's stalls, beside its progress.
 STALLS_SUFFIX = ".stalls"
 # Suffix of the key of the row that holds a job's cancellation.
--- a/geraniumwell/commands/batch/preemption.py
+++ b/geraniumwell/commands/batch/preemption.py
@@ -121,7 +121,7 @@
 def list_options(
     cluster: Cluster, capacities: Iterable[WorkerCapacity], unit: Unit, now: float
 ) -> list[Preemption]:
-    """Return a preemption on each suitable worker, sorted by cost per task."""
+    """Return a preemption on each suitable worker."""
     needs = find_reserved_resources(unit.spec)
     options: list[Preemption] = []
     for capacity in capacities:
--- a/tests/actors/batch/commit_state_steps.py
+++ b/tests/actors/batch/commit_state_steps.py
@@ -9,7 +9,7 @@
 from geraniumwell.const import INTERFERENCE_KEY
 from geraniumwell.messages.batch import LeaderClaim
 from geraniumwell.model.batch.leader import LeaderRow
-from tests.support.batch import WALL, make_cluster
+from tests.support.batch import WALL, make_cluster, make_job, make_step, submit
 
 PAIR = ("a", "b", False)
 
@@ -37,6 +37,30 @@
             context.seconds.append(str(second))
 
 
+@given("{count:d} jobs with changed progress and stalls, and {rows:d} rows to remove")
+def step_changes(context: Context, count: int, rows: int) -> None:
+    for number in range(count):
+        submit(context.cluster, make_job(f"j{number}", make_step()))
+    context.cluster.unsaved_jobs.update(context.cluster.jobs)
+    context.cluster.unsaved_stalls.update(context.cluster.jobs)
+    context.removals = [f"old{number}" for number in range(rows)]
+
+
+@when("a transaction is sent")
+def step_transaction(context: Context) -> None:
+    commits = make_commit_state(LeaderClaim(LeaderRow("a/1", 1, 0, {}), 1, 0.0))
+    commits.removals = context.removals
+    context.sent = begin_transaction(commits, context.cluster, 9, WALL + 9).transaction
+
+
+@then("it has the row of interference and at most {most:d} entries")
+def step_entries(context: Context, most: int) -> None:
+    sent = context.sent
+    assert INTERFERENCE_KEY in [write.key for write in sent.writes]
+    count = len(sent.conditions) + len(sent.writes) + len(sent.removals)
+    assert count <= most, count
+
+
 @then('the transactions with the row are "{seconds}"')
 @then('the transactions with the row are ""')
 def step_written(context: Context, seconds: str = "") -> None:
