--- /dev/null
+++ b/review/8/__init__.py
@@ -0,0 +1,1 @@
+"""Case 8 of the second review."""
