Keep ended jobs known until their rows are gone from the store

Cause: the scheduler deleted an ended job from its state first and asked for the removal of the job's rows afterwards. Between the two, and for as long as the leader held the claim if the removal failed, a row of the job table that the scheduler does not know looks like a new job, and a complete read of the table returns such rows. The log of the old code shows it on one daemon: sweep_failed for eight jobs, and 9.3 s later job_taken_up with an age of 92 s for the same eight. A takeover is not needed, and neither is a failure: rows that wait for their turn, or a read that began before the removal, do the same.

The store removes the rows, the feed of the job table shows that they are gone (a tombstone, or a complete read without the row), the progress is removed with the next transaction, and only its confirmation makes the scheduler forget the job. The answer to a removal decides only when it is requested again (5 s after a failure), so a lost, late or refused one does no harm. A removal is conditional on the version of the row, so that one that is executed late can't take a job that uses the id again. Nothing is written for a job whose progress is being removed, and a job that uses the id again replaces the progress. Requests need a valid claim and a confirmed end. Removals are counted by result.

The step of commit_state.feature now gives the 50 jobs that are removed a row of stalls each: still 100 rows, and two keys of one job can't be split.

--- a/geraniumwell/actors/batch/commit_state.py
+++ b/geraniumwell/actors/batch/commit_state.py
@@ -23,6 +23,7 @@
     HOLDER_VALID_SECONDS,
     RENEW_INTERVAL_SECONDS,
 )
+from geraniumwell.commands.batch.retention import forget_jobs
 from geraniumwell.const import (
     INTERFERENCE_KEY,
     LEADER_KEY,
@@ -68,6 +69,8 @@
         Starts to be sent once the transaction is confirmed.
     applied_ends : dict
         Number of the last end of each worker whose effect the transaction stores.
+    removed_jobs : tuple of str
+        Ids of the jobs whose progress the transaction removes.
     """
 
     row: LeaderRow
@@ -75,6 +78,7 @@
     jobs: set[str]
     orders: list[StartTask]
     applied_ends: dict[str, int]
+    removed_jobs: tuple[str, ...]
     sent_at: float
 
 
@@ -88,8 +92,6 @@
         ``boottime_seconds`` until which no other daemon can have taken the claim.
     orders : list of StartTask
         Starts to be sent once their tasks are stored.
-    removals : list of str
-        Keys of the progress rows to remove; the rows of their jobs already are.
     """
 
     holder: str
@@ -99,7 +101,6 @@
     valid_until: float
     sent_at: float
     orders: list[StartTask] = field(default_factory=list)
-    removals: list[str] = field(default_factory=list)
     in_flight: InFlightTransaction | None = None
     is_releasing: bool = False
 
@@ -143,13 +144,12 @@
     holder = "" if state.is_releasing and not cluster.unsaved_jobs else state.holder
     row = LeaderRow(holder, state.epoch, state.counter + 1, count_pending(cluster))
     writes = [RowWrite(TABLE_CONTROL, LEADER_KEY, encode_leader(row))]
-    for job_id in sorted(jobs & cluster.jobs.keys()):
+    for job_id in sorted((jobs & cluster.jobs.keys()) - cluster.removals.removed):
         value = encode_progress(cluster.jobs[job_id])
         writes.append(RowWrite(TABLE_PROGRESS, job_id, value))
     writes += take_stall_rows(cluster)
     writes += make_interference_writes(cluster.interference, now, wall_now)
-    keys = state.removals[:REMOVALS_PER_TRANSACTION]
-    state.removals = state.removals[REMOVALS_PER_TRANSACTION:]
+    removed_jobs, keys = list_progress_removals(cluster)
     removals = [RowRemoval(TABLE_PROGRESS, key) for key in keys]
     transaction = TableTransaction(
         (Condition(TABLE_CONTROL, LEADER_KEY, state.version),),
@@ -170,7 +170,7 @@
     state.counter += 1
     state.sent_at = now
     state.in_flight = InFlightTransaction(
-        row, transaction, jobs, orders, applied_ends, now
+        row, transaction, jobs, orders, applied_ends, removed_jobs, now
     )
     return state.in_flight
 
@@ -197,7 +197,8 @@
     """Return the rows of some jobs whose stalls have changed."""
     jobs = sorted(cluster.unsaved_stalls)[:STALL_ROWS_PER_TRANSACTION]
     cluster.unsaved_stalls.difference_update(jobs)
-    known = [job_id for job_id in jobs if job_id in cluster.jobs]
+    removed = cluster.removals.removed
+    known = [i for i in jobs if i in cluster.jobs and i not in removed]
     cluster.jobs_with_stall_rows.update(known)
     return [
         RowWrite(
@@ -207,14 +208,19 @@
     ]
 
 
-def add_removals(
-    state: CommitState, cluster: Cluster, job_ids: tuple[str, ...]
-) -> None:
-    """Queue the removal of all progress rows of some jobs."""
-    state.removals += job_ids
-    for job_id in cluster.jobs_with_stall_rows.intersection(job_ids):
-        cluster.jobs_with_stall_rows.discard(job_id)
-        state.removals.append(job_id + STALLS_SUFFIX)
+def list_progress_removals(cluster: Cluster) -> tuple[tuple[str, ...], list[str]]:
+    """Return jobs whose rows are gone, and the keys of their progress and stalls."""
+    jobs: list[str] = []
+    keys: list[str] = []
+    for job_id in sorted(cluster.removals.removed):
+        own = [job_id]
+        if job_id in cluster.jobs_with_stall_rows:
+            own.append(job_id + STALLS_SUFFIX)
+        if len(keys) + len(own) > REMOVALS_PER_TRANSACTION:
+            break
+        jobs.append(job_id)
+        keys += own
+    return tuple(jobs), keys
 
 
 def confirm_transaction(
@@ -226,6 +232,7 @@
     state.in_flight = None
     state.version = version
     state.valid_until = in_flight.sent_at + HOLDER_VALID_SECONDS
+    forget_jobs(cluster, in_flight.removed_jobs)
     for worker_id, number in in_flight.applied_ends.items():
         worker = cluster.workers.get(worker_id)
         if worker is not None and number <= worker.last_applied_end:
--- a/geraniumwell/actors/batch/end_reporter.py
+++ b/geraniumwell/actors/batch/end_reporter.py
@@ -20,7 +20,11 @@
         """Report the jobs whose final state has just been stored."""
         for job_id in job_ids:
             job = cluster.jobs.get(job_id)
-            if job is None or job.state not in ENDED_STATES or job_id in self._reported:
+            if job is None or job.state not in ENDED_STATES:
+                # The id of an ended job may be used again.
+                self._reported.discard(job_id)
+                continue
+            if job_id in self._reported:
                 continue
             self._reported.add(job_id)
             ENDED_JOBS.labels(job.state.value).inc()
--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -8,13 +8,23 @@
 from geraniumwell.codec.interference import decode_interference
 from geraniumwell.codec.json import CodecError
 from geraniumwell.commands.batch.interference import restore_pairs
-from geraniumwell.commands.batch.lifecycle import add_job, cancel_job
+from geraniumwell.commands.batch.lifecycle import (
+    add_job,
+    cancel_job,
+    mark_job_unsaved,
+)
 from geraniumwell.commands.batch.registry import (
     apply_all_entries,
     apply_entry,
     apply_removed_entry,
     restore_job,
 )
+from geraniumwell.commands.batch.retention import (
+    is_new_row,
+    record_all_rows,
+    record_removed_row,
+    release_job_id,
+)
 from geraniumwell.const import INTERFERENCE_KEY
 from geraniumwell.helpers.batch_metrics import UNREADABLE_ROWS
 from geraniumwell.helpers.event_log import EVENT_LOG
@@ -79,6 +89,7 @@
             except CodecError as exc:
                 self._report_unreadable("job", row.key, exc)
                 continue
+            job.version = row.version
             self._restore_stalls(job, stored.get(row.key + STALLS_SUFFIX))
             restore_job(self._cluster, job, now)
 
@@ -108,26 +119,42 @@
     def apply_jobs(
         self, rows: tuple[StoredRow, ...], now: float, wall_now: float
     ) -> list[Order]:
-        """Add new jobs and apply cancellations; return the resulting orders."""
+        """Apply rows of the job table in order; return the resulting orders.
+
+        Adds new jobs, applies cancellations, and records removed rows.
+        """
         orders: list[Order] = []
         for row in rows:
-            if row.is_deleted:
+            job_id = row.key.removesuffix(CANCEL_SUFFIX)
+            is_cancellation = job_id != row.key
+            if row.is_deleted and is_cancellation:
                 continue
-            if row.key.endswith(CANCEL_SUFFIX):
-                job_id = row.key.removesuffix(CANCEL_SUFFIX)
+            if row.is_deleted:
+                record_removed_row(self._cluster, job_id, row.version)
+            elif is_cancellation:
                 EVENT_LOG.write("job_cancelled", job=job_id)
                 orders += cancel_job(self._cluster, job_id, now, wall_now)
-            elif row.key not in self._cluster.jobs:
+            elif is_new_row(self._cluster, job_id, row.version):
                 self._add_job(row, wall_now)
         return orders
 
+    def apply_all_jobs(
+        self, rows: tuple[StoredRow, ...], now: float, wall_now: float
+    ) -> list[Order]:
+        """Apply a complete read of the job table; return the resulting orders."""
+        record_all_rows(self._cluster, {row.key for row in rows})
+        return self.apply_jobs(rows, now, wall_now)
+
     def _add_job(self, row: StoredRow, wall_now: float) -> None:
         try:
             spec = decode_spec(row.value)
         except CodecError as exc:
             self._report_unreadable("job", row.key, exc)
             return
-        add_job(self._cluster, spec, wall_now)
+        has_progress = release_job_id(self._cluster, spec.id)
+        add_job(self._cluster, spec, wall_now, row.version)
+        if has_progress:
+            mark_job_unsaved(self._cluster, spec.id)
         EVENT_LOG.write(
             "job_taken_up",
             job=spec.id,
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -6,7 +6,6 @@
 
 from geraniumwell.actors.batch.commit_state import (
     CommitState,
-    add_removals,
     affects_claim,
     begin_transaction,
     confirm_transaction,
@@ -43,9 +42,10 @@
     is_start_wanted,
 )
 from geraniumwell.commands.batch.evacuation import cancel_unsent_starts
-from geraniumwell.commands.batch.lifecycle import find_task, remove_expired_jobs
+from geraniumwell.commands.batch.lifecycle import find_task
 from geraniumwell.commands.batch.planning import plan
 from geraniumwell.commands.batch.registry import remove_unregistered_workers
+from geraniumwell.commands.batch.retention import record_removals, request_removals
 from geraniumwell.commands.batch.rounds import DueTimer, RoundTimer
 from geraniumwell.const import (
     JOB_PARTITIONS,
@@ -191,7 +191,7 @@
             case Tick("resend"):
                 self._resend()
             case JobRowsRemoved(ids):
-                add_removals(self._commits, self._cluster, ids)
+                record_removals(self._cluster, ids, boottime_seconds())
             case ActorFailed(name):
                 self._end(f"the actor {name} has failed")
         self._run_due_actions()
@@ -235,7 +235,9 @@
                 self._disconnect(self._row_applier.apply_registry(rows, now))
             case TableChanged(table, rows) if table == self._deps.registry:
                 self._disconnect(self._row_applier.apply_registry_changes(rows, now))
-            case TableSnapshot(_, rows) | TableChanged(_, rows):
+            case TableSnapshot(_, rows):
+                self._dispatch(self._row_applier.apply_all_jobs(rows, now, wall_now))
+            case TableChanged(_, rows):
                 self._dispatch(self._row_applier.apply_jobs(rows, now, wall_now))
         self._request_plan()
 
@@ -266,6 +268,7 @@
             self._end("released")
             return
         self._end_reporter.report(self._cluster, in_flight.jobs)
+        self._end_reporter.forget(in_flight.removed_jobs)
         now = boottime_seconds()
         sent = [order for order in in_flight.orders if self._send_start(order, now)]
         for fields in group_order_fields(sent):
@@ -372,15 +375,18 @@
         WAITING_JOBS.set(len(self._cluster.pending_jobs))
         if now >= self._cleaned_up_at + CLEANUP_SECONDS:
             self._cleaned_up_at = now
-            self._clean_up(wall_now)
+            self._clean_up(now, wall_now)
 
-    def _clean_up(self, wall_now: float) -> None:
+    def _clean_up(self, now: float, wall_now: float) -> None:
         """Remove unregistered workers and jobs whose retention time is over."""
         self._disconnect(remove_unregistered_workers(self._cluster))
-        if expired := remove_expired_jobs(self._cluster, wall_now):
-            self._end_reporter.forget(expired)
-            tell(self._sweeper, RemoveJobRows(tuple(expired)))
-        self._fleet_reporter.report(self._cluster, boottime_seconds())
+        if now < self._commits.valid_until:
+            in_flight = self._commits.in_flight
+            uncommitted = in_flight.jobs if in_flight else set()
+            jobs = request_removals(self._cluster, uncommitted, now, wall_now)
+            if jobs:
+                tell(self._sweeper, RemoveJobRows(jobs))
+        self._fleet_reporter.report(self._cluster, now)
         log_interference(self._cluster.interference)
 
     def _run_due_actions(self) -> None:
--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -29,11 +29,17 @@
 )
 
 
-def add_job(cluster: Cluster, spec: JobSpec, wall_now: float) -> None:
-    """Add an accepted job, unless it is already known."""
+def add_job(cluster: Cluster, spec: JobSpec, wall_now: float, version: int = 0) -> None:
+    """Add an accepted job, unless it is already known.
+
+    Parameters
+    ----------
+    version : int
+        Version of the job's row in the store.
+    """
     if spec.id in cluster.jobs:
         return
-    job = Job(spec)
+    job = Job(spec, version=version)
     register_job(cluster, job)
     if spec.id in cluster.early_cancelled_jobs:
         cluster.early_cancelled_jobs.discard(spec.id)
@@ -246,20 +252,3 @@
     task.is_start_sent = False
     task.stopped_at = task.stop_reason = None
     mark_job_unsaved(cluster, task.id.job)
-
-
-def remove_expired_jobs(cluster: Cluster, wall_now: float) -> list[str]:
-    """Remove ended jobs after twice the retention time; return their ids."""
-    retention_seconds = cluster.policy.result_seconds
-    expired = [
-        job_id
-        for job_id, job in cluster.jobs.items()
-        if job.state in ENDED_STATES
-        and wall_now - job.ended_at > retention_seconds * 2
-        and job_id not in cluster.unsaved_jobs
-        # A worker that never ends a stopped run still reports it.
-        and not any(task.worker for step in job.steps.values() for task in step.tasks)
-    ]
-    for job_id in expired:
-        del cluster.jobs[job_id]
-    return expired
--- a/geraniumwell/helpers/batch_metrics.py
+++ b/geraniumwell/helpers/batch_metrics.py
@@ -83,6 +83,11 @@
     "Messages that ended in an unexpected error, by actor.",
     ("actor",),
 )
+JOB_REMOVALS = Counter(
+    "geraniumwell_batch_job_removals",
+    "Removals of the rows of ended jobs, by result.",
+    ("result",),
+)
 UNREADABLE_ROWS = Counter(
     "geraniumwell_batch_rows_unreadable",
     "Rows of other writers that were left out, by what they should hold.",
--- a/geraniumwell/messages/batch.py
+++ b/geraniumwell/messages/batch.py
@@ -16,6 +16,7 @@
 from geraniumwell.model.batch.catalog import Catalog
 from geraniumwell.model.batch.cluster import PaceTask, StartTask, StopTask
 from geraniumwell.model.batch.leader import LeaderRow
+from geraniumwell.model.batch.removal import ExpiredJob
 from geraniumwell.model.batch.worker import WorkerReport
 
 
@@ -71,12 +72,12 @@
 class RemoveJobRows:
     """Ask for the removal of the rows of jobs that ended long ago."""
 
-    ids: tuple[str, ...]
+    jobs: tuple[ExpiredJob, ...]
 
 
 @dataclass(slots=True, frozen=True)
 class JobRowsRemoved:
-    """The rows of these jobs were removed; those of their progress remain."""
+    """Result of a request: the jobs without rows; those of their progress remain."""
 
     ids: tuple[str, ...]
 
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -7,6 +7,7 @@
 from geraniumwell.model.batch.catalog import Catalog
 from geraniumwell.model.batch.interference import InterferenceTable
 from geraniumwell.model.batch.job import Job, StopReason, Task, TaskId
+from geraniumwell.model.batch.removal import RemovalState
 from geraniumwell.model.batch.speed import SpeedIndex
 from geraniumwell.model.batch.unit import StepKey, UnitQueue
 from geraniumwell.model.batch.worker import Worker
@@ -67,6 +68,8 @@
         the stored jobs are loaded; None after that.
     registered_count : int
         Number of jobs registered so far, accepted or restored.
+    removals : RemovalState
+        Ended jobs whose rows are being removed from the store.
     """
 
     epoch: int
@@ -89,6 +92,7 @@
     pending_jobs: dict[str, str] = field(default_factory=dict)
     earlier_pending: dict[str, int] | None = None
     registered_count: int = 0
+    removals: RemovalState = field(default_factory=RemovalState)
     fleet: FleetIndex = field(default_factory=FleetIndex)
     queue: UnitQueue = field(default_factory=UnitQueue)
     speeds: SpeedIndex = field(default_factory=SpeedIndex)
--- a/geraniumwell/model/batch/job.py
+++ b/geraniumwell/model/batch/job.py
@@ -272,6 +272,8 @@
         Unix time at which the job ended; 0 before that.
     sequence : int
         Position in the order in which the scheduler accepted the jobs; breaks ties.
+    version : int
+        Version of the job's row in the store.
     """
 
     spec: JobSpec
@@ -282,6 +284,7 @@
     has_begun: bool = False
     ended_at: float = 0.0
     sequence: int = 0
+    version: int = 0
 
 
 def open_occurrence(job: Job, occurrence: int) -> None:
--- a/stand_ins/table_store.py
+++ b/stand_ins/table_store.py
@@ -1,11 +1,12 @@
 """Simulated table store of the platform: rows, transactions, a feed and faults.
 
 ``POST /faults`` with ``{"mode": "up" | "busy" | "silent" | "slow" | "lose_answers",
-"seconds": s, "share": p, "late": s}`` changes how later calls behave. ``slow`` delays
-each call by ``seconds`` and executes the transactions of a partition one after
-another, each for ``seconds``. ``busy`` refuses with 503 and does nothing; ``silent``
-never answers and does nothing; ``lose_answers`` executes a share of the writes after
-``late`` seconds and does not answer them.
+"seconds": s, "share": p, "late": s, "parts": [...]}`` changes how later calls behave.
+``slow`` delays each call by ``seconds`` and executes the transactions of a partition
+one after another, each for ``seconds``. ``busy`` refuses with 503 and does nothing,
+with ``parts`` only for transactions and reads of these partitions; ``silent`` never
+answers and does nothing; ``lose_answers`` executes a share of the writes after ``late``
+seconds and does not answer them.
 ``POST /compact`` drops the history of changes.
 """
 
@@ -63,7 +64,11 @@
             send_json(handler, 200, {})
             return
         fault = dict(self._fault)
-        if self._apply_fault(handler, fault):
+        if "parts" in fault:
+            if is_in_parts(url.path, args, body, fault["parts"]):
+                send_json(handler, 503, {})
+                return
+        elif self._apply_fault(handler, fault):
             return
         match url.path:
             case "/rows-tx":
@@ -199,6 +204,16 @@
     return (item["Table"], item.get("part", ""), item["Key"])
 
 
+def is_in_parts(path: str, args: dict[str, str], body: bytes, parts: list[str]) -> bool:
+    """Return whether a transaction or read is in one of some partitions."""
+    match path:
+        case "/rows-tx":
+            return find_partition(json.loads(body)) in parts
+        case "/rows-get":
+            return args.get("part", "") in parts
+    return False
+
+
 def find_partition(call: dict[str, Any]) -> str:
     """Return the partition of a transaction; all of its entries must be in it."""
     entries = [
--- a/tests/actors/batch/commit_state_steps.py
+++ b/tests/actors/batch/commit_state_steps.py
@@ -43,13 +43,14 @@
         submit(context.cluster, make_job(f"j{number}", make_step()))
     context.cluster.unsaved_jobs.update(context.cluster.jobs)
     context.cluster.unsaved_stalls.update(context.cluster.jobs)
-    context.removals = [f"old{number}" for number in range(rows)]
+    removed = {f"old{number}" for number in range(rows // 2)}
+    context.cluster.removals.removed = removed
+    context.cluster.jobs_with_stall_rows |= removed
 
 
 @when("a transaction is sent")
 def step_transaction(context: Context) -> None:
     commits = make_commit_state(LeaderClaim(LeaderRow("a/1", 1, 0, {}), 1, 0.0))
-    commits.removals = context.removals
     context.sent = begin_transaction(commits, context.cluster, 9, WALL + 9).transaction
 
 
--- /dev/null
+++ b/tests/actors/batch/job_removal.feature
@@ -0,0 +1,40 @@
+Feature: A job that has ended stays known until its rows are gone from the store
+
+  Scenario Outline: A job whose rows were not removed does not run again after a lost history
+    The leader forgot the job before its rows were removed. After the history was lost it
+    read the job table anew and took the remaining row for a new job.
+
+    Given a scheduler with a job that ended long ago
+    And the store <fault> the removal of the job's rows
+    When the scheduler has tried to remove the rows
+    And the store loses its history
+    And another job is submitted
+    Then only the other job is started
+    When the fault ends
+    Then the store has no row of the job that ended
+
+    Examples:
+      | fault               |
+      | refuses             |
+      | does not answer     |
+      | executes late       |
+
+  # Guards against an old snapshot of the job table that brings a removed job back.
+  Scenario: A snapshot that was read before the removal does not start the job again
+    Given a scheduler with a job that is about to expire
+    When the store loses its history, and the response of the last read is held back
+    And the rows of the job have been removed from the job table
+    And the response arrives
+    And another job is submitted
+    Then only the other job is started
+    And the store has no row of the job that ended
+
+  # Guards against an accepted job that a late removal of its predecessor takes away.
+  Scenario: A late removal does not affect a job that was submitted again under the same id
+    Given a scheduler with a job that ended long ago
+    And the store executes late the removal of the job's rows
+    When the scheduler has tried to remove the rows
+    And the rows are removed and the job is submitted again
+    Then the job is started
+    When the fault ends
+    Then the row and the progress of the job are stored
--- a/tests/actors/batch/store_actors_steps.py
+++ b/tests/actors/batch/store_actors_steps.py
@@ -32,6 +32,7 @@
     WatchTable,
 )
 from geraniumwell.model.batch.cluster import BatchPolicy
+from geraniumwell.model.batch.removal import ExpiredJob
 from geraniumwell.platform.decode import decode_entry
 from tests.actors.batch.scheduler_steps import Owner
 from tests.support.processes import wait_until
@@ -140,7 +141,7 @@
 def step_remove_rows(context: Context, job: str) -> None:
     sweeper = JobSweeper.start(context.store, context.owner)
     context.add_cleanup(sweeper.stop, block=False)
-    sweeper.tell(RemoveJobRows((job,)))
+    sweeper.tell(RemoveJobRows((ExpiredJob(job, 7),)))
 
 
 @then('the owner is notified that the rows of "{job}" were removed')
--- a/tests/actors/batch/whole_path.feature
+++ b/tests/actors/batch/whole_path.feature
@@ -132,6 +132,22 @@
     And the operator revokes the API key
     Then all daemons reject the API key
 
+  # Guards against a job that runs again because the scheduler had forgotten it while its
+  # rows were still in the store.
+  Scenario: A job that is done does not run again after a failed removal and a lost history
+    Given 2 daemons and 2 workers whose tasks take 0.3 seconds, and results kept for 2 seconds
+    When the job "00000000000000a1" is submitted to "d1"
+    Then the job "00000000000000a1" reaches the state "done" on "d1"
+    When the store refuses the partitions of the job table
+    And the scheduling daemon was refused a transaction
+    And the store recovers
+    And the store compacts its change history
+    And the job "00000000000000b2" of 1 small tasks is submitted to "d2"
+    Then the job "00000000000000b2" reaches the state "done" on "d2"
+    And the job "00000000000000a1" becomes unknown to "d1"
+    And the rows of the job "00000000000000a1" are removed from the store
+    And each task of the job "00000000000000a1" was started once
+
   # Guards against the loss of an accepted job.
   Scenario: An accepted job survives the loss of all daemons
     Given 2 daemons and 2 workers whose tasks take 0.3 seconds
--- a/tests/actors/batch/whole_path_steps.py
+++ b/tests/actors/batch/whole_path_steps.py
@@ -13,6 +13,13 @@
 from msgspec.json import decode, encode
 from urllib3.exceptions import HTTPError
 
+from geraniumwell.codec.batch import find_job_partition
+from geraniumwell.const import (
+    JOB_PARTITIONS,
+    PARTITION_SCHEDULE,
+    TABLE_JOBS,
+    TABLE_PROGRESS,
+)
 from tests.support.batch_processes import (
     Installation,
     set_fault,
@@ -24,6 +31,7 @@
 EVACUATED = "geraniumwell_batch_evacuated_data_centres"
 WAITING = "geraniumwell_batch_jobs_waiting"
 ROUNDS = "geraniumwell_batch_plan_seconds_count"
+REFUSED = 'geraniumwell_store_calls_total{operation="commit",result="503"}'
 UNREADABLE = 'geraniumwell_batch_rows_unreadable_total{kind="worker"}'
 
 
@@ -40,6 +48,20 @@
     context.stopped_daemon = ""
 
 
+@given(
+    "{daemons:d} daemons and {workers:d} workers whose tasks take {seconds:g}"
+    " seconds, and results kept for {kept:d} seconds"
+)
+def step_short_retention(
+    context: Context, daemons: int, workers: int, seconds: float, kept: int
+) -> None:
+    settings = {"result_seconds": kept}
+    found = start_installation(daemons, workers, seconds, settings=settings)
+    context.processes.append(found)
+    context.installation = found
+    context.job = ""
+
+
 def get_installation(context: Context) -> Installation:
     """Return the scenario's installation."""
     return context.installation
@@ -162,6 +184,20 @@
     get_installation(context).set_store_fault(mode="busy")
 
 
+@when("the store refuses the partitions of the job table")
+def step_partitions_refused(context: Context) -> None:
+    get_installation(context).set_store_fault(mode="busy", parts=JOB_PARTITIONS)
+
+
+@when("the scheduling daemon was refused a transaction")
+def step_transaction_refused(context: Context) -> None:
+    installation = get_installation(context)
+    wait_until(
+        lambda: installation.read_metric(installation.find_scheduler(), REFUSED) >= 1,
+        "a refused transaction",
+    )
+
+
 @when("the responses to all writes are lost")
 def step_responses_lost(context: Context) -> None:
     get_installation(context).set_store_fault(mode="lose_answers")
@@ -201,6 +237,35 @@
     assert answers <= {"410", "503"}, answers
 
 
+@then('the job "{job}" becomes unknown to "{name}"')
+def step_becomes_unknown(context: Context, job: str, name: str) -> None:
+    wait_until(
+        lambda: get_installation(context).find_state(name, job) == "410",
+        "the job being unknown",
+    )
+
+
+@then('the rows of the job "{job}" are removed from the store')
+def step_rows_removed(context: Context, job: str) -> None:
+    installation = get_installation(context)
+    tables = [(TABLE_JOBS, find_job_partition(job))]
+    tables.append((TABLE_PROGRESS, PARTITION_SCHEDULE))
+    for table, part in tables:
+        keys = [row["Key"] for row in installation.list_rows(table, part)]
+        assert job not in keys, (table, keys)
+
+
+@then('each task of the job "{job}" was started once')
+def step_started_once(context: Context, job: str) -> None:
+    starts = Counter(
+        item["task"]
+        for item in get_installation(context).read_record()
+        if item["what"] == "start" and item["task"].startswith(job)
+    )
+    assert len(starts) == 2, starts
+    assert set(starts.values()) == {1}, starts
+
+
 @when('the job "{job}" is cancelled through "{name}"')
 def step_cancel(context: Context, job: str, name: str) -> None:
     assert get_installation(context).ask(name, "DELETE", job).status == 200
--- /dev/null
+++ b/tests/commands/batch/retention_steps.py
@@ -0,0 +1,166 @@
+"""Steps of the removal of ended jobs."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from geraniumwell.actors.batch.commit_state import (
+    begin_transaction,
+    confirm_transaction,
+    make_commit_state,
+)
+from geraniumwell.actors.batch.row_applier import RowApplier
+from geraniumwell.clients.table import StoredRow
+from geraniumwell.codec.batch import encode_spec
+from geraniumwell.commands.batch.lifecycle import add_job, end_job, mark_job_unsaved
+from geraniumwell.commands.batch.retention import (
+    forget_jobs,
+    is_new_row,
+    record_all_rows,
+    record_removals,
+    record_removed_row,
+    request_removals,
+)
+from geraniumwell.const import TABLE_JOBS
+from geraniumwell.messages.batch import LeaderClaim
+from geraniumwell.model.batch.cluster import BatchPolicy
+from geraniumwell.model.batch.job import JobState
+from geraniumwell.model.batch.leader import LeaderRow
+from tests.support.batch import WALL, list_tasks, make_cluster, make_job, make_step
+
+JOB = "00000000000000a1"
+VERSION = 7
+ENDED_SECONDS = 241.0
+
+
+@given("a job that ended 241 s ago with a retention time of 120 s, but {exception}")
+def step_ended(context: Context, exception: str) -> None:
+    context.cluster = make_cluster("r1")
+    context.uncommitted = set()
+    add_job(context.cluster, make_job(JOB, make_step()), WALL, VERSION)
+    end_job(context.cluster, context.cluster.jobs[JOB], JobState.DONE, WALL)
+    context.cluster.unsaved_jobs.clear()
+    match exception:
+        case "nothing else":
+            pass
+        case "a retention time of 121 s":
+            context.cluster.policy = BatchPolicy(result_seconds=121.0)
+        case "its end was changed just now":
+            mark_job_unsaved(context.cluster, JOB)
+        case "its transaction is not confirmed":
+            context.uncommitted.add(JOB)
+        case "a worker still reports its task":
+            list_tasks(context.cluster, JOB)[0].worker = "w1"
+        case "its removal was requested":
+            assert request(context, 0.0)
+            record_removals(context.cluster, (JOB,), 0.0)
+        case _:
+            raise ValueError(exception)
+
+
+def request(context: Context, now: float) -> list[str]:
+    """Return the ids of the jobs whose removal is requested."""
+    wall_now = WALL + ENDED_SECONDS + now
+    found = request_removals(context.cluster, context.uncommitted, now, wall_now)
+    assert all(job.version == VERSION for job in found), found
+    return [job.id for job in found]
+
+
+@then("the removal of its rows is {requested}")
+def step_is_requested(context: Context, requested: str) -> None:
+    expected = [JOB] if requested == "requested" else []
+    assert request(context, 0.0) == expected
+
+
+@given("the requested removal of a job")
+def step_requested(context: Context) -> None:
+    step_ended(context, "nothing else")
+    assert request(context, 0.0) == [JOB]
+
+
+@given("a running job")
+def step_running(context: Context) -> None:
+    context.cluster = make_cluster("r1")
+    add_job(context.cluster, make_job(JOB, make_step()), WALL, VERSION)
+
+
+@when("the store has removed no rows")
+def step_none_removed(context: Context) -> None:
+    record_removals(context.cluster, (), 0.0)
+
+
+@then("the removal is requested again after 5 s and not after 4.9 s")
+def step_again(context: Context) -> None:
+    assert request(context, 4.9) == []
+    assert request(context, 5.0) == [JOB]
+
+
+@when("the store has removed its rows")
+def step_removed(context: Context) -> None:
+    record_removals(context.cluster, (JOB,), 0.0)
+
+
+@when("the feed reports the removal of its row")
+def step_feed(context: Context) -> None:
+    record_removed_row(context.cluster, JOB, VERSION + 1)
+
+
+@when("the feed reports an earlier removal of a row with its id")
+def step_earlier_removal(context: Context) -> None:
+    record_removed_row(context.cluster, JOB, VERSION - 1)
+
+
+@when("a complete read of the job table lacks its row")
+def step_missing(context: Context) -> None:
+    record_all_rows(context.cluster, set())
+
+
+@when("the removal of its progress is confirmed")
+def step_progress_removed(context: Context) -> None:
+    forget_jobs(context.cluster, (JOB,))
+
+
+@then("the job is known and is not new")
+def step_known(context: Context) -> None:
+    assert JOB in context.cluster.jobs
+    assert not is_new_row(context.cluster, JOB, VERSION)
+
+
+@then("the job is not known")
+def step_unknown(context: Context) -> None:
+    assert JOB not in context.cluster.jobs
+    assert not context.cluster.removals.removed
+    assert not context.cluster.removals.requested
+
+
+@when("a transaction with the removal of its progress is sent")
+def step_transaction(context: Context) -> None:
+    claim = LeaderClaim(LeaderRow("a/1", 1, 0, {}), 1, 0.0)
+    context.commits = make_commit_state(claim)
+    sent = begin_transaction(context.commits, context.cluster, 1.0, WALL + 250.0)
+    assert [item.key for item in sent.transaction.removals] == [JOB]
+
+
+@when("a job with the same id is submitted")
+def step_resubmitted(context: Context) -> None:
+    value = encode_spec(make_job(JOB, make_step()))
+    row = StoredRow(TABLE_JOBS, JOB, value, VERSION + 2)
+    applier = RowApplier(context.cluster, decode_entry=None)
+    applier.apply_jobs((row,), 1.0, WALL + 250.0)
+
+
+@when("the transaction is confirmed")
+def step_confirmed(context: Context) -> None:
+    confirm_transaction(context.commits, context.cluster, 2)
+
+
+@then("the new job is known")
+def step_new_known(context: Context) -> None:
+    job = context.cluster.jobs[JOB]
+    assert (job.state, job.version) == (JobState.QUEUED, VERSION + 2), job
+
+
+@then("its progress is written with the next transaction")
+def step_written(context: Context) -> None:
+    sent = begin_transaction(context.commits, context.cluster, 2.0, WALL + 251.0)
+    assert JOB in [write.key for write in sent.transaction.writes]
+    assert not sent.transaction.removals
