Remove the progress of jobs whose rows a former leader has removed

Cause: the rows of a job and its progress are removed in two steps. When the leader ended between them, the job table had no row of the job any more, so no later leader knew the job, and its progress and stalls stayed in the store for good. The answer to a removal that was lost had the same effect.

Change: a scheduler that loads the stored state compares the progress with the job table; what belongs to no row is removed with its next transactions. Only the holder of the claim writes progress, and only for jobs with a row, so the row was there before and was removed.

Evidence: "A new scheduler removes the progress of a job without a row" failed on (rows still there after 60 s) and passes.

--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -22,6 +22,7 @@
 from geraniumwell.commands.batch.retention import (
     is_new_row,
     record_all_rows,
+    record_orphans,
     record_removed_row,
     release_job_id,
 )
@@ -80,6 +81,7 @@
     ) -> None:
         """Restore the jobs that an earlier scheduler has started."""
         stored = {row.key: row.value for row in progress}
+        self._record_orphans(rows, stored)
         for row in rows:
             value = stored.get(row.key)
             if value is None:
@@ -93,6 +95,18 @@
             self._restore_stalls(job, stored.get(row.key + STALLS_SUFFIX))
             restore_job(self._cluster, job, now)
 
+    def _record_orphans(
+        self, rows: tuple[StoredRow, ...], stored: dict[str, bytes]
+    ) -> None:
+        """Record progress and stalls of jobs whose rows were removed."""
+        jobs = {row.key for row in rows}
+        owners = {key: key.removesuffix(STALLS_SUFFIX) for key in stored}
+        orphans = {key: owner for key, owner in owners.items() if owner not in jobs}
+        record_orphans(self._cluster, orphans.values())
+        self._cluster.jobs_with_stall_rows.update(
+            owner for key, owner in orphans.items() if key != owner
+        )
+
     def _restore_stalls(self, job: Job, value: bytes | None) -> None:
         if value is None:
             return
--- a/geraniumwell/commands/batch/retention.py
+++ b/geraniumwell/commands/batch/retention.py
@@ -96,6 +96,11 @@
         cluster.removals.removed.add(job.spec.id)
 
 
+def record_orphans(cluster: Cluster, job_ids: Iterable[str]) -> None:
+    """Record the stored progress of jobs whose rows a former leader has removed."""
+    cluster.removals.removed.update(job_ids)
+
+
 def is_new_row(cluster: Cluster, job_id: str, version: int) -> bool:
     """Return whether a row of the job table holds a job that isn't known yet.
 
--- a/tests/actors/batch/job_removal.feature
+++ b/tests/actors/batch/job_removal.feature
@@ -29,6 +29,13 @@
     Then only the other job is started
     And the store has no row of the job that ended
 
+  # Guards against progress rows that stay forever when a scheduler ends between the
+  # removal of a job and that of its progress.
+  Scenario: A new scheduler removes the progress of a job without a row
+    Given a store with progress and stalls of a job without a row
+    And a scheduler
+    Then the store has no row of the job that ended
+
   # Guards against an accepted job that a late removal of its predecessor takes away.
   Scenario: A late removal does not affect a job that was submitted again under the same id
     Given a scheduler with a job that ended long ago
