Don't start jobs with unreadable progress as new ones

A job whose progress row could not be decoded was left out when the stored state was loaded, and the next pass over the job table, which looks only at the jobs in memory, took its row for a new job and started it from run 1.

Change: the scheduler remembers such jobs and leaves their rows alone. They keep their progress for a leader that can read it; a query of their state was and is refused, and the row is logged and counted as unreadable.

Evidence: "A job with unreadable progress is not started as a new one" failed on (started 39 ms after the other job's submission) and passes.

--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -90,6 +90,7 @@
                 job = decode_progress(value, decode_spec(row.value))
             except CodecError as exc:
                 self._report_unreadable("job", row.key, exc)
+                self._cluster.unreadable_jobs.add(row.key)
                 continue
             job.version = row.version
             self._restore_stalls(job, stored.get(row.key + STALLS_SUFFIX))
--- a/geraniumwell/commands/batch/retention.py
+++ b/geraniumwell/commands/batch/retention.py
@@ -78,6 +78,7 @@
 
     A former leader may have asked for it, so the removal need not be requested here.
     """
+    cluster.unreadable_jobs.discard(job_id)
     job = cluster.jobs.get(job_id)
     if job is not None and job.version < version:
         _mark_removed(cluster, job)
@@ -106,6 +107,8 @@
 
     The id of an ended job may be used again once its row was removed.
     """
+    if job_id in cluster.unreadable_jobs:
+        return False
     job = cluster.jobs.get(job_id)
     return job is None or (job.state in ENDED_STATES and job.version < version)
 
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -49,6 +49,9 @@
         Ids of the jobs whose stalls have changed, and of those with stored stalls.
     early_cancelled_jobs : set of str
         Ids of the jobs that were cancelled before their definition arrived.
+    unreadable_jobs : set of str
+        Ids of the jobs whose progress can't be read. Their tasks may have run, so they
+        are not started.
     changed_workers, changed_jobs : set of str
         Workers and jobs that have changed since the last planning round.
     poll_candidates : set of str
@@ -82,6 +85,7 @@
     unsaved_stalls: set[str] = field(default_factory=set)
     jobs_with_stall_rows: set[str] = field(default_factory=set)
     early_cancelled_jobs: set[str] = field(default_factory=set)
+    unreadable_jobs: set[str] = field(default_factory=set)
     changed_workers: set[str] = field(default_factory=set)
     changed_jobs: set[str] = field(default_factory=set)
     poll_candidates: set[str] = field(default_factory=set)
--- a/tests/actors/batch/job_removal.feature
+++ b/tests/actors/batch/job_removal.feature
@@ -36,6 +36,15 @@
     And a scheduler
     Then the store has no row of the job that ended
 
+  # Guards against a job that runs again because its progress was taken for missing.
+  Scenario: A job with unreadable progress is not started as a new one
+    Given a store with a job whose progress is unreadable
+    And a scheduler
+    When the store loses its history
+    And another job is submitted
+    Then only the other job is started
+    And the progress of the job is still stored
+
   # Guards against an accepted job that a late removal of its predecessor takes away.
   Scenario: A late removal does not affect a job that was submitted again under the same id
     Given a scheduler with a job that ended long ago
