Store cancellations only beside their job, and remove those without one

Cause: a cancellation was written after a read of the job's row, without a condition. If the rows of the job were removed in between, or the write was executed late, the cancellation stayed for good: every later scheduler loaded it, and it would have cancelled a later job with the same id.

Change: the write is conditional on the version of the job's row; a conflict means that there is no such job (410).

--- a/geraniumwell/actors/batch/job_store.py
+++ b/geraniumwell/actors/batch/job_store.py
@@ -14,6 +14,7 @@
     Condition,
     Conflict,
     RowWrite,
+    StoredRow,
     StoreOutcomeUnknownError,
     StoreRefusedError,
     TableClient,
@@ -100,17 +101,26 @@
     def cancel(self, job_id: str, queue: str) -> JobCallResult:
         """Store the cancellation of a job."""
         try:
-            if self._find_spec(job_id, queue) is None:
+            row = self._find_job(job_id, queue)
+            if row is None:
                 return JobCallResult(JobCallOutcome.NO_JOB)
+            # The rows of an ended job may be removed at any moment.
+            condition = Condition(TABLE_JOBS, job_id, row.version)
             write = RowWrite(TABLE_JOBS, job_id + CANCEL_SUFFIX, b"x")
             part = find_job_partition(job_id)
-            self._store().commit(TableTransaction((), (write,), part=part))
+            result = self._store().commit(
+                TableTransaction((condition,), (write,), part=part)
+            )
         except StoreRefusedError as exc:
             return self._report_failure("cancel", job_id, JobCallOutcome.REFUSED, exc)
         except StoreOutcomeUnknownError as exc:
             return self._report_failure("cancel", job_id, JobCallOutcome.UNKNOWN, exc)
-        EVENT_LOG.write("cancel_accepted", job=job_id)
-        return JobCallResult(JobCallOutcome.CANCELLED)
+        match result:
+            case Committed():
+                EVENT_LOG.write("cancel_accepted", job=job_id)
+                return JobCallResult(JobCallOutcome.CANCELLED)
+            case Conflict():
+                return JobCallResult(JobCallOutcome.NO_JOB)
 
     def find_state(self, job_id: str, queue: str) -> JobCallResult:
         """Return the state of a job."""
@@ -121,18 +131,17 @@
                 if state is JobState.QUEUED and has_begun:
                     state = JobState.RUNNING
                 return JobCallResult(JobCallOutcome.FOUND, state)
-            if self._find_spec(job_id, queue) is None:
+            if self._find_job(job_id, queue) is None:
                 return JobCallResult(JobCallOutcome.NO_JOB)
         except (StoreRefusedError, StoreOutcomeUnknownError, CodecError) as exc:
             return self._report_failure("state", job_id, JobCallOutcome.REFUSED, exc)
         return JobCallResult(JobCallOutcome.FOUND, JobState.QUEUED)
 
-    def _find_spec(self, job_id: str, queue: str) -> JobSpec | None:
+    def _find_job(self, job_id: str, queue: str) -> StoredRow | None:
         row = find_row(self._store(), TABLE_JOBS, job_id, find_job_partition(job_id))
         if row is None:
             return None
-        spec = decode_spec(row.value)
-        return spec if spec.queue == queue else None
+        return row if decode_spec(row.value).queue == queue else None
 
     def _store(self) -> TableClient:
         if self._health.is_unreachable:
--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -23,6 +23,7 @@
     is_new_row,
     record_all_rows,
     record_orphans,
+    record_removed_cancellation,
     record_removed_row,
     release_job_id,
 )
@@ -143,8 +144,8 @@
             job_id = row.key.removesuffix(CANCEL_SUFFIX)
             is_cancellation = job_id != row.key
             if row.is_deleted and is_cancellation:
-                continue
-            if row.is_deleted:
+                record_removed_cancellation(self._cluster, job_id)
+            elif row.is_deleted:
                 record_removed_row(self._cluster, job_id, row.version)
             elif is_cancellation:
                 EVENT_LOG.write("job_cancelled", job=job_id)
@@ -157,7 +158,11 @@
         self, rows: tuple[StoredRow, ...], now: float, wall_now: float
     ) -> list[Order]:
         """Apply a complete read of the job table; return the resulting orders."""
-        record_all_rows(self._cluster, {row.key for row in rows})
+        present = {row.key for row in rows}
+        record_all_rows(self._cluster, present)
+        for job_id in list(self._cluster.early_cancelled_jobs):
+            if job_id + CANCEL_SUFFIX not in present:
+                record_removed_cancellation(self._cluster, job_id)
         return self.apply_jobs(rows, now, wall_now)
 
     def _add_job(self, row: StoredRow, wall_now: float) -> None:
--- a/geraniumwell/commands/batch/retention.py
+++ b/geraniumwell/commands/batch/retention.py
@@ -33,6 +33,10 @@
     if state.in_flight or now < state.retry_at:
         return ()
     known = state.requested | state.removed
+    # The store holds a cancellation only beside its job, so the job was removed.
+    cancellations = [
+        ExpiredJob(job_id, 0) for job_id in cluster.early_cancelled_jobs - known
+    ]
     jobs = [
         ExpiredJob(job_id, job.version)
         for job_id, job in cluster.jobs.items()
@@ -40,7 +44,7 @@
         and job_id not in uncommitted
         and is_expired(cluster, job, wall_now)
     ]
-    chosen = tuple(jobs[:JOBS_PER_REQUEST])
+    chosen = tuple([*jobs, *cancellations][:JOBS_PER_REQUEST])
     state.in_flight = frozenset(job.id for job in chosen)
     state.requested |= state.in_flight
     return chosen
@@ -97,6 +101,13 @@
         cluster.removals.removed.add(job.spec.id)
 
 
+def record_removed_cancellation(cluster: Cluster, job_id: str) -> None:
+    """Record that the cancellation of a job was removed."""
+    if job_id in cluster.early_cancelled_jobs:
+        cluster.early_cancelled_jobs.discard(job_id)
+        cluster.removals.requested.discard(job_id)
+
+
 def record_orphans(cluster: Cluster, job_ids: Iterable[str]) -> None:
     """Record the stored progress of jobs whose rows a former leader has removed."""
     cluster.removals.removed.update(job_ids)
--- a/geraniumwell/model/batch/removal.py
+++ b/geraniumwell/model/batch/removal.py
@@ -12,7 +12,7 @@
     id : str
         Id of the job.
     version : int
-        Version of the job's row.
+        Version of the job's row; 0 if there is only a cancellation.
     """
 
     id: str
--- a/tests/actors/batch/job_removal.feature
+++ b/tests/actors/batch/job_removal.feature
@@ -54,3 +54,12 @@
     Then the job is started
     When the fault ends
     Then the row and the progress of the job are stored
+
+  # Guards against cancellations without a job, which are never removed and would cancel
+  # a later job with the same id.
+  Scenario: A cancellation without a job is removed
+    Given a store with a cancellation of a job without a row
+    And a scheduler
+    Then the store has no row of the job that ended
+    When the job is submitted again
+    Then the job is started
