Remove cancellations that are stored after the row of their job was removed

If the row was gone and the progress not yet, the job was still known as ended, so the cancellation was ignored, and it stayed in the store until the next complete read of the job table.

Change: once the row of a job is gone, a cancellation counts as one without a job, and its removal is requested.

--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -68,7 +68,7 @@
 ) -> list[Order]:
     """Cancel a job on request of its caller; return the stop orders."""
     job = cluster.jobs.get(job_id)
-    if job is None:
+    if job is None or job_id in cluster.removals.removed:
         cluster.early_cancelled_jobs.add(job_id)
         return []
     if job.state in ENDED_STATES:
--- a/tests/commands/batch/retention.feature
+++ b/tests/commands/batch/retention.feature
@@ -55,3 +55,12 @@
     And the transaction is confirmed
     Then the new job is known
     And its progress is written with the next transaction
+
+  # Guards against a cancellation that stays because its job was about to be forgotten.
+  Scenario: A cancellation that is stored after its job was removed is removed, too
+    Given the requested removal of a job
+    When the store has removed its rows
+    And the feed reports the removal of its row
+    And a cancellation of the job is stored
+    And the removal of its progress is confirmed
+    Then the removal of the cancellation is requested
--- a/tests/commands/batch/retention_steps.py
+++ b/tests/commands/batch/retention_steps.py
@@ -11,7 +11,12 @@
 from geraniumwell.actors.batch.row_applier import RowApplier
 from geraniumwell.clients.table import StoredRow
 from geraniumwell.codec.batch import encode_spec
-from geraniumwell.commands.batch.lifecycle import add_job, end_job, mark_job_unsaved
+from geraniumwell.commands.batch.lifecycle import (
+    add_job,
+    cancel_job,
+    end_job,
+    mark_job_unsaved,
+)
 from geraniumwell.commands.batch.retention import (
     forget_jobs,
     is_new_row,
@@ -25,6 +30,7 @@
 from geraniumwell.model.batch.cluster import BatchPolicy
 from geraniumwell.model.batch.job import JobState
 from geraniumwell.model.batch.leader import LeaderRow
+from geraniumwell.model.batch.removal import ExpiredJob
 from tests.support.batch import WALL, list_tasks, make_cluster, make_job, make_step
 
 JOB = "00000000000000a1"
@@ -114,6 +120,17 @@
     record_all_rows(context.cluster, set())
 
 
+@when("a cancellation of the job is stored")
+def step_cancelled(context: Context) -> None:
+    assert cancel_job(context.cluster, JOB, 1.0, WALL + 250.0) == []
+
+
+@then("the removal of the cancellation is requested")
+def step_cancellation_requested(context: Context) -> None:
+    found = request_removals(context.cluster, set(), 1.0, WALL + 250.0)
+    assert found == (ExpiredJob(JOB, 0),), found
+
+
 @when("the removal of its progress is confirmed")
 def step_progress_removed(context: Context) -> None:
     forget_jobs(context.cluster, (JOB,))
