--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 
 from defopt import run
 
-from soak.run import SoakConfig, run_soak
+from soak.run import DEFAULT_RESULT_SECONDS, SoakConfig, run_soak
 
 
 def soak(
@@ -17,6 +17,7 @@
     daemons: int = 3,
     workers: int = 4,
     callers: int = 4,
+    result_seconds: float = DEFAULT_RESULT_SECONDS,
 ) -> int:
     """Run real processes under random faults and check that the invariants hold.
 
@@ -30,12 +31,17 @@
         Number of seeds to run one after another, beginning with ``seed``.
     daemons, workers, callers : int
         Number of processes of each kind and of threads that submit jobs.
+    result_seconds : float
+        Retention time of results; with less than the default, jobs are removed during
+        the run.
     """
     failed_seeds = 0
     for number in range(seed, seed + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
         print(f"seed {number}, logs in {folder}", flush=True)
-        cfg = SoakConfig(number, minutes * 60, daemons, workers, callers)
+        cfg = SoakConfig(
+            number, minutes * 60, daemons, workers, callers, result_seconds
+        )
         checker = run_soak(cfg, folder)
         for text in checker.violations:
             print(f"seed {number} BROKEN {text}", flush=True)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,7 +19,8 @@
 RETRY_DELAY_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 6.0
 POLL_INTERVAL_SECONDS = 0.4
-# A job that has not ended by then is left to the check at the end of the soak test.
+# A job that has not ended by then is left to the check at the end of the soak test,
+# unless its result could be removed before.
 POLL_TIMEOUT_SECONDS = 15.0
 CANCEL_PROBABILITY = 0.15
 MEAN_PAUSE_SECONDS = 0.6
@@ -32,12 +33,15 @@
     ----------
     events : SimpleQueue of Event
         Queue to which the caller reports all that it observes.
+    poll_seconds : float
+        Time after which it no longer asks for the state of a job.
     """
 
     __slots__ = (
         "_http",
         "_number",
         "_events",
+        "_poll_seconds",
         "_random",
         "_installation",
         "_stop",
@@ -50,8 +54,10 @@
         number: int,
         seed: int,
         events: SimpleQueue[Event],
+        poll_seconds: float = POLL_TIMEOUT_SECONDS,
     ) -> None:
         self._installation = installation
+        self._poll_seconds = poll_seconds
         self._number = number
         self._random = Random(f"{seed} {number}")
         self._events = events
@@ -87,7 +93,7 @@
             self._stop.wait(self._random.uniform(0.0, 1.5))
             status, _ = self._call("DELETE", job)
             self._events.put(Cancelled(job, status))
-        deadline = monotonic() + POLL_TIMEOUT_SECONDS
+        deadline = monotonic() + self._poll_seconds
         while monotonic() < deadline and not self._stop.is_set():
             if self.query_state(job) in ("done", "failed", "cancelled"):
                 return
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -194,6 +194,11 @@
             and history.last_state not in ENDED_STATES
         ]
 
+    def check_rows(self, keys: list[str]) -> None:
+        """Check that no rows of jobs are left after their retention time."""
+        if keys:
+            self._report(f"LEAK: the rows {sorted(keys)[:10]} of jobs were not removed")
+
     def check_at_end(self) -> None:
         """Check the invariants that can be decided only at the end."""
         for job in self.list_unfinished_jobs():
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,12 +2,19 @@
 
 import json
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 from queue import Empty, SimpleQueue
 from random import Random
 from time import monotonic, sleep
 
-from soak.callers import Caller, KeyProber
+from geraniumwell.const import (
+    JOB_PARTITIONS,
+    PARTITION_SCHEDULE,
+    TABLE_JOBS,
+    TABLE_PROGRESS,
+)
+from soak.callers import POLL_TIMEOUT_SECONDS, Caller, KeyProber
 from soak.events import Event, JobShape, RunSeen
 from soak.faults import PlannedFault, draw_schedule
 from soak.injector import Injector
@@ -18,6 +25,9 @@
 LOOP_INTERVAL_SECONDS = 0.05
 # Allows for leases of 10 s and for stalled tasks, which are given up after 6 s.
 SETTLE_TIMEOUT_SECONDS = 90.0
+DEFAULT_RESULT_SECONDS = 120.0
+# Added to twice the retention time; a failed removal is repeated after 5 s.
+REMOVAL_TIMEOUT_SECONDS = 20.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -28,6 +38,10 @@
     ----------
     seconds : float
         Time during which faults are injected.
+    result_seconds : float
+        Retention time of results. Less than the default makes the daemons remove jobs
+        during the run; callers then ask for a job until they know its end, and the rows
+        of all jobs have to be gone in the end.
     """
 
     seed: int
@@ -35,6 +49,12 @@
     daemons: int = 3
     workers: int = 4
     callers: int = 4
+    result_seconds: float = DEFAULT_RESULT_SECONDS
+
+    @property
+    def has_removals(self) -> bool:
+        """Whether jobs are removed during the run."""
+        return self.result_seconds < DEFAULT_RESULT_SECONDS
 
 
 class SoakRun:
@@ -42,6 +62,7 @@
 
     __slots__ = (
         "_callers",
+        "_cfg",
         "_injector",
         "_inbox",
         "_key_prober",
@@ -52,13 +73,15 @@
 
     def __init__(self, installation: Installation, cfg: SoakConfig) -> None:
         self._installation = installation
+        self._cfg = cfg
         self._inbox: SimpleQueue[Event | JobShape] = SimpleQueue()
         self._record_offset = 0
         self.checker = InvariantChecker()
         self._key_prober = KeyProber(installation, self._inbox)
         self._injector = Injector(installation, self._inbox.put, self._key_prober.add)
+        poll_seconds = inf if cfg.has_removals else POLL_TIMEOUT_SECONDS
         self._callers = [
-            Caller(installation, number, cfg.seed, self._inbox)
+            Caller(installation, number, cfg.seed, self._inbox, poll_seconds)
             for number in range(cfg.callers)
         ]
 
@@ -97,6 +120,25 @@
             sleep(LOOP_INTERVAL_SECONDS)
             self._apply_events()
         self.checker.check_at_end()
+        if self._cfg.has_removals:
+            self._check_removals()
+
+    def _check_removals(self) -> None:
+        """Wait until the rows of all jobs are removed."""
+        wait_seconds = 2 * self._cfg.result_seconds + REMOVAL_TIMEOUT_SECONDS
+        deadline = monotonic() + wait_seconds
+        while (keys := self._list_job_rows()) and monotonic() < deadline:
+            sleep(LOOP_INTERVAL_SECONDS)
+        self.checker.check_rows(keys)
+
+    def _list_job_rows(self) -> list[str]:
+        tables = [(TABLE_JOBS, part) for part in JOB_PARTITIONS]
+        tables.append((TABLE_PROGRESS, PARTITION_SCHEDULE))
+        return [
+            row["Key"]
+            for table, part in tables
+            for row in self._installation.list_rows(table, part)
+        ]
 
     def _apply_events(self) -> None:
         """Apply the observed events so that causes precede their effects.
@@ -148,8 +190,14 @@
 
 def run_soak(cfg: SoakConfig, folder: Path) -> InvariantChecker:
     """Run the soak test with one seed; logs of the daemons stay in ``folder``."""
+    settings = {"result_seconds": cfg.result_seconds}
     installation = start_installation(
-        cfg.daemons, cfg.workers, TASK_SECONDS, is_proxied=True, folder=folder
+        cfg.daemons,
+        cfg.workers,
+        TASK_SECONDS,
+        is_proxied=True,
+        folder=folder,
+        settings=settings,
     )
     try:
         schedule = draw_schedule(
--- a/tests/soak/invariants.feature
+++ b/tests/soak/invariants.feature
@@ -78,6 +78,12 @@
     When a query for "a" gets 410
     Then a violation of "LOST" is reported
 
+  # Guards against rows of jobs that stay in the store without being reported.
+  Scenario: Rows that are left after the retention time are reported
+    Given a job "a" of 1 step that was accepted
+    When a row of "a" is left after the retention time
+    Then a violation of "LEAK" is reported
+
   # Guards against a state that contradicts the workers' records and is not reported.
   Scenario: A job that is shown as done before all its tasks are done is reported
     Given a job "a" of 1 step that was accepted
--- a/tests/soak/invariants_steps.py
+++ b/tests/soak/invariants_steps.py
@@ -68,6 +68,11 @@
     checker_of(context).apply(KeySeen(name, process, key, status))
 
 
+@when('a row of "{job}" is left after the retention time')
+def step_row_left(context: Context, job: str) -> None:
+    checker_of(context).check_rows([job])
+
+
 @when("the soak test ends")
 def step_close(context: Context) -> None:
     checker_of(context).check_at_end()
--- a/tests/soak/run.feature
+++ b/tests/soak/run.feature
@@ -11,3 +11,10 @@
       | seed | seconds |
       | 1    | 15      |
       | 2    | 15      |
+
+  # Guards against ended jobs that run again, or whose rows stay, when the store or the
+  # daemons fail while they are removed.
+  Scenario: A short soak test with removals of jobs passes
+    Given the soak test ran with seed 3 for 30 seconds, and results kept for 5 seconds
+    Then jobs were accepted and tasks ran
+    And no invariant was violated during the soak test
--- a/tests/soak/run_steps.py
+++ b/tests/soak/run_steps.py
@@ -15,6 +15,18 @@
     context.checker = run_soak(SoakConfig(seed, seconds), folder)
 
 
+@given(
+    "the soak test ran with seed {seed:d} for {seconds:g} seconds, and results kept for"
+    " {kept:g} seconds"
+)
+def step_soak_with_removals(
+    context: Context, seed: int, seconds: float, kept: float
+) -> None:
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    cfg = SoakConfig(seed, seconds, result_seconds=kept)
+    context.checker = run_soak(cfg, folder)
+
+
 @then("jobs were accepted and tasks ran")
 def step_worked(context: Context) -> None:
     accepted = [
