--- a/geraniumwell/actors/batch/commit_state.py
+++ b/geraniumwell/actors/batch/commit_state.py
@@ -208,6 +208,11 @@
     ]
 
 
+def list_uncommitted_jobs(state: CommitState) -> set[str]:
+    """Return the jobs whose progress is in the transaction in flight."""
+    return state.in_flight.jobs if state.in_flight else set()
+
+
 def list_progress_removals(cluster: Cluster) -> tuple[tuple[str, ...], list[str]]:
     """Return jobs whose rows are gone, and the keys of their progress and stalls."""
     jobs: list[str] = []
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -11,6 +11,7 @@
     confirm_transaction,
     find_committed_version,
     find_due_time,
+    list_uncommitted_jobs,
     make_commit_state,
 )
 from geraniumwell.actors.batch.end_reporter import EndReporter
@@ -381,10 +382,8 @@
         """Remove unregistered workers and jobs whose retention time is over."""
         self._disconnect(remove_unregistered_workers(self._cluster))
         if now < self._commits.valid_until:
-            in_flight = self._commits.in_flight
-            uncommitted = in_flight.jobs if in_flight else set()
-            jobs = request_removals(self._cluster, uncommitted, now, wall_now)
-            if jobs:
+            uncommitted = list_uncommitted_jobs(self._commits)
+            if jobs := request_removals(self._cluster, uncommitted, now, wall_now):
                 tell(self._sweeper, RemoveJobRows(jobs))
         self._fleet_reporter.report(self._cluster, now)
         log_interference(self._cluster.interference)
--- a/tests/actors/batch/removal_simulation.py
+++ b/tests/actors/batch/removal_simulation.py
@@ -10,6 +10,7 @@
     begin_transaction,
     confirm_transaction,
     find_committed_version,
+    list_uncommitted_jobs,
     make_commit_state,
 )
 from geraniumwell.actors.batch.job_store import JobCallOutcome, JobStore
@@ -192,6 +193,9 @@
         self.table.put(TABLE_JOBS, part, job_id + CANCEL_SUFFIX, b"x")
 
     def _take_over(self) -> None:
+        # A claim is taken only once its holder may send no more orders.
+        for former in self.leaders:
+            former.commits.valid_until = self.now
         self.epoch += 1
         row = LeaderRow(f"d{self.epoch}/1", self.epoch, 0, {})
         version = self.table.put(
@@ -284,8 +288,7 @@
                 removed += remove_job_rows(self.table, (job,))
             record_removals(leader.cluster, removed, self.now)
         elif not leader.requests and self.now < leader.commits.valid_until:
-            in_flight = leader.commits.in_flight
-            uncommitted = in_flight.jobs if in_flight else set()
+            uncommitted = list_uncommitted_jobs(leader.commits)
             wall_now = WALL + self.now
             jobs = request_removals(leader.cluster, uncommitted, self.now, wall_now)
             if jobs:
