Request the removal of a cancellation again after a complete read

Cause: the feed reports the removal of a cancellation without a job. If an earlier version stored the cancellation again and the history was lost before the report, the complete read contains it, and its removal counted as requested for as long as the leader held the claim.

Change: a complete read starts the cancellations without a job anew.

--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -158,11 +158,7 @@
         self, rows: tuple[StoredRow, ...], now: float, wall_now: float
     ) -> list[Order]:
         """Apply a complete read of the job table; return the resulting orders."""
-        present = {row.key for row in rows}
-        record_all_rows(self._cluster, present)
-        for job_id in list(self._cluster.early_cancelled_jobs):
-            if job_id + CANCEL_SUFFIX not in present:
-                record_removed_cancellation(self._cluster, job_id)
+        record_all_rows(self._cluster, {row.key for row in rows})
         return self.apply_jobs(rows, now, wall_now)
 
     def _add_job(self, row: StoredRow, wall_now: float) -> None:
--- a/geraniumwell/commands/batch/retention.py
+++ b/geraniumwell/commands/batch/retention.py
@@ -89,7 +89,12 @@
 
 
 def record_all_rows(cluster: Cluster, present: Set[str]) -> None:
-    """Record which jobs have a row in a later, complete read of the job table."""
+    """Record which jobs have a row in a later, complete read of the job table.
+
+    The caller applies the rows after this, and with them the cancellations.
+    """
+    for job_id in list(cluster.early_cancelled_jobs):
+        record_removed_cancellation(cluster, job_id)
     for job_id, job in cluster.jobs.items():
         if job_id not in present:
             _mark_removed(cluster, job)
--- a/tests/commands/batch/retention.feature
+++ b/tests/commands/batch/retention.feature
@@ -64,3 +64,10 @@
     And a cancellation of the job is stored
     And the removal of its progress is confirmed
     Then the removal of the cancellation is requested
+
+  # Guards against a cancellation that stays because it was stored again while the history
+  # of changes was lost.
+  Scenario: A cancellation that a complete read still contains is requested again
+    Given the requested removal of a cancellation without a job
+    When a complete read of the job table contains the cancellation
+    Then the removal of the cancellation is requested
--- a/tests/commands/batch/retention_steps.py
+++ b/tests/commands/batch/retention_steps.py
@@ -4,6 +4,7 @@
 from behave.runner import Context
 
 from geraniumwell.actors.batch.commit_state import (
+    CANCEL_SUFFIX,
     begin_transaction,
     confirm_transaction,
     make_commit_state,
@@ -131,6 +132,21 @@
     assert found == (ExpiredJob(JOB, 0),), found
 
 
+@given("the requested removal of a cancellation without a job")
+def step_cancellation_removal(context: Context) -> None:
+    context.cluster = make_cluster("r1")
+    step_cancelled(context)
+    step_cancellation_requested(context)
+    record_removals(context.cluster, (JOB,), 1.0)
+
+
+@when("a complete read of the job table contains the cancellation")
+def step_cancellation_present(context: Context) -> None:
+    row = StoredRow(TABLE_JOBS, JOB + CANCEL_SUFFIX, b"x", VERSION)
+    applier = RowApplier(context.cluster, decode_entry=None)
+    applier.apply_all_jobs((row,), 1.0, WALL + 250.0)
+
+
 @when("the removal of its progress is confirmed")
 def step_progress_removed(context: Context) -> None:
     forget_jobs(context.cluster, (JOB,))
