--- a/tests/actors/batch/job_removal_steps.py
+++ b/tests/actors/batch/job_removal_steps.py
@@ -148,7 +148,7 @@
 
 @when("the scheduler has tried to remove the rows")
 def step_tried(context: Context) -> None:
-    wait_until(lambda: bool(context.store.unanswered), "the removal")
+    wait_until(lambda: bool(context.store.failed), "the removal")
 
 
 @when("the store loses its history")
--- a/tests/actors/batch/removal_simulation.py
+++ b/tests/actors/batch/removal_simulation.py
@@ -69,6 +69,8 @@
         A complete read of the job table that is not finished; it yields the partitions.
     found : list of RowRange
         Partitions that it has read so far.
+    progress : RowRange or None
+        The stored progress, once the load of a new scheduler has read it.
     after : int
         Version of the store from which the feed continues.
     sent_begun, sent_ended : set
@@ -163,7 +165,7 @@
         if self.random.random() < 0.01:
             self._take_over()
 
-    def _call_store(self, part: str) -> None:
+    def _choose_fault(self, part: str) -> None:
         """Choose the fault of the next transaction of a partition."""
         table = self.table
         for parts in (table.refused_parts, table.lossy_parts, table.delayed_parts):
@@ -174,7 +176,7 @@
 
     def _submit(self) -> None:
         spec = make_job(self.random.choice(JOB_IDS), make_step(), queue=QUEUE)
-        self._call_store(find_job_partition(spec.id))
+        self._choose_fault(find_job_partition(spec.id))
         result = JobStore(lambda: self.table, StoreHealth()).submit(spec)
         if result.code is JobCallOutcome.ACCEPTED:
             row = self.table.find(TABLE_JOBS, find_job_partition(spec.id), spec.id)
@@ -183,7 +185,7 @@
 
     def _cancel(self) -> None:
         job_id = self.random.choice(JOB_IDS)
-        self._call_store(find_job_partition(job_id))
+        self._choose_fault(find_job_partition(job_id))
         JobStore(lambda: self.table, StoreHealth()).cancel(job_id, QUEUE)
 
     def _cancel_by_older_version(self) -> None:
@@ -262,7 +264,7 @@
             }
         in_flight = state.in_flight
         assert in_flight is not None
-        self._call_store(PARTITION_SCHEDULE)
+        self._choose_fault(PARTITION_SCHEDULE)
         try:
             result = self.table.commit(in_flight.transaction)
         except StoreError:
@@ -284,7 +286,7 @@
             leader.requests = []
             removed: list[str] = []
             for job in jobs:
-                self._call_store(find_job_partition(job.id))
+                self._choose_fault(find_job_partition(job.id))
                 removed += remove_job_rows(self.table, (job,))
             record_removals(leader.cluster, removed, self.now)
         elif not leader.requests and self.now < leader.commits.valid_until:
--- a/tests/support/memory_table.py
+++ b/tests/support/memory_table.py
@@ -31,6 +31,9 @@
     delayed_parts : set of str
         Partitions whose transactions get no response and are executed by
         ``execute_delayed``.
+    commits, failed, delayed : list of TableTransaction
+        Transactions that were executed, that were refused or got no response, and that
+        are still to be executed.
     held_part : str
         Partition whose reads return their rows only once ``read_gate`` is set.
     """
@@ -49,7 +52,7 @@
         "lossy_parts",
         "read_gate",
         "refused_parts",
-        "unanswered",
+        "failed",
     )
 
     def __init__(self) -> None:
@@ -63,7 +66,7 @@
         self.delayed_parts: set[str] = set()
         self.delayed: list[TableTransaction] = []
         self.commits: list[TableTransaction] = []
-        self.unanswered: list[TableTransaction] = []
+        self.failed: list[TableTransaction] = []
         self.held_part = ""
         self.held_reads = 0
         self.read_gate = Event()
@@ -111,15 +114,15 @@
         """Execute a transaction, or apply the fault of its partition."""
         part = transaction.part
         if part in self.refused_parts:
-            self.unanswered.append(transaction)
+            self.failed.append(transaction)
             raise StoreRefusedError("injected refusal")
         if part in self.delayed_parts:
-            self.unanswered.append(transaction)
+            self.failed.append(transaction)
             self.delayed.append(transaction)
             raise StoreOutcomeUnknownError("injected delay")
         result = self._execute(transaction)
         if part in self.lossy_parts:
-            self.unanswered.append(transaction)
+            self.failed.append(transaction)
             raise StoreOutcomeUnknownError("injected loss of a response")
         return result
 
