--- /dev/null
+++ b/review/support_3/__init__.py
@@ -0,0 +1,1 @@
+"""Processes and clients that the scripts of the third review share."""
