--- a/review/support_3/installation.py
+++ b/review/support_3/installation.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
-from signal import SIGSTOP
+from signal import SIGSTOP, SIGTERM, signal
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from typing import Any, TextIO
 
@@ -324,6 +324,8 @@
 
 def run_case(folder: Path, case: Callable[[Record, bool], int]) -> int:
     """Run a case with its record; return the exit status."""
+    # Also ends the processes of the case if the script itself is stopped.
+    signal(SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     try:
         status = case(record, os.environ.get("TROUBLE") != "0")
