--- a/review/support_3/installation.py
+++ b/review/support_3/installation.py
@@ -85,6 +85,7 @@
         workers: int = 24,
         task_seconds: float = 0.5,
         is_proxied: bool = False,
+        kinds: dict[str, str] | None = None,
         **settings: Any,
     ) -> None:
         if not DEPENDENCIES.is_dir():
@@ -99,6 +100,8 @@
         self.proxies: dict[str, SilencingProxy] = {}
         self._is_proxied = is_proxied
         self.settings: dict[str, dict[str, Any]] = {}
+        self.workers: dict[str, str] = {}
+        self._kinds = kinds or {}
         self._worker_args: dict[str, list[str]] = {}
         try:
             self._start(daemons, workers, task_seconds, settings)
@@ -117,8 +120,10 @@
             args = [address.partition(":")[2], self.store, f"worker-{number:02d}"]
             args += ["booking", f"rack-{number // 8}", str(task_seconds)]
             args.append(str(self.runs_path))
-            self._worker_args[f"worker-{number:02d}"] = args
-            self.start_worker(f"worker-{number:02d}")
+            name = f"worker-{number:02d}"
+            self.workers[name] = address
+            self._worker_args[name] = args
+            self.start_worker(name, self._kinds.get(name, "a"))
         for number in range(daemons):
             name = f"front-{'abc'[number % 3]}-{number // 3 + 1}"
             kinds = ("callers", "readiness", "metrics", "relay")
