--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,7 @@
-"""A few jobs of many steps stop all scheduling for good."""
+"""A job runs after its cancelling was acknowledged, because its row was stored late."""
 
 import sys
 import time
-from collections import Counter
 from pathlib import Path
 
 from review.support_3.installation import (
@@ -14,76 +13,51 @@
     run_case,
 )
 
-LARGE_JOBS = 3
-STEPS = 2_000
-ORDINARY_JOBS = 8
-# ``finish_s``: time after the end of the traffic from which the rule counts.
-FINISH_SECONDS = 14.0
-# Span of the rule, and the calm time before it.
-CALM_SECONDS = 3.0 + 4.0
-CORES_MILLIS = 24 * 16_000
+# Length of the disturbance, and how late its lost writes are done: 1 to 6 s.
+LOSS_SECONDS = 2.0
+LATE_SECONDS = 6.0
+CONTACT_SECONDS = 3.0
+CANCEL_SECONDS = 3.0
+WATCH_SECONDS = 10.0
+JOB = f"{0xAB:016x}"
 STEP = {"Count": 3, "Cpu": 1000, "MemMb": 1000, "Gpu": 1, "EstRuntimeMs": 500}
-SMALL_STEP = {"Cpu": 10, "MemMb": 16, "EstRuntimeMs": 500}
-
-
-def submit(installation: Installation, name: str, job: str, steps: list) -> None:
-    """Hand a job in until it is accepted, as a client with four retries does."""
-    for _ in range(5):
-        status = installation.ask(name, "POST", job, {"Spec": job, "Steps": steps})
-        if status == 200:
-            return
-        time.sleep(1.0)
-    raise CannotRunError(f"job {job} was not accepted")
 
 
 def check(record: Record, has_trouble: bool) -> int:
     """Run the case."""
-    installation = Installation(record)
+    installation = Installation(record, workers=8)
     try:
-        names = list(installation.settings)
-        submit(installation, names[0], f"{0:016x}", [STEP])
-        time.sleep(3.0)
-        if installation.find_state(names[0], f"{0:016x}") != "done":
-            raise CannotRunError("a job before the trouble was not done")
+        body = {"Spec": JOB, "Steps": [STEP]}
+        begin = time.monotonic()
         if has_trouble:
-            for number in range(LARGE_JOBS):
-                steps = [SMALL_STEP] * STEPS
-                submit(installation, names[number], f"{0xAA00 + number:016x}", steps)
-        ordinary = [f"{0xB0 + number:016x}" for number in range(ORDINARY_JOBS)]
-        for number, job in enumerate(ordinary):
-            time.sleep(0.5)
-            submit(installation, names[number % len(names)], job, [STEP])
-        record.write(f"end of the traffic; {FINISH_SECONDS} s until the check")
-        time.sleep(FINISH_SECONDS)
-        before = {item["task"] for item in installation.read_runs()}
-        time.sleep(CALM_SECONDS)
-        runs = installation.read_runs()
-        states = {job: installation.find_state(names[0], job) for job in ordinary}
-        for item in runs:
-            record.write(f"worker: {item['what']} {item['task']} run {item['run']}")
-        record.write(f"states: {dict(Counter(states.values()))}")
-        starved = [
-            job
-            for job in ordinary
-            if not any(item["task"].startswith(job) for item in runs)
-        ]
-        used = sum(
-            SMALL_STEP["Cpu"] if item["task"].startswith(f"{0xAA:014x}") else 1000
-            for item in runs
-            if item["what"] == "start"
-        ) - sum(
-            SMALL_STEP["Cpu"] if item["task"].startswith(f"{0xAA:014x}") else 1000
-            for item in runs
-            if item["what"] in ("done", "failed", "stopped", "lapsed")
-        )
-        record.write(
-            f"{len(starved)} of {len(ordinary)} ordinary jobs never started; "
-            f"{used} of {CORES_MILLIS} thousandths of a core are in use; tasks seen: "
-            f"{len(before)} before the last {CALM_SECONDS} s; claims won: "
-            f"{installation.count_events('claim_won')}, lost: "
-            f"{installation.count_events('claim_ended')}"
-        )
-        return BROKEN if starved and used < CORES_MILLIS / 2 else HELD
+            installation.set_store_fault(mode="lose_key", key=JOB, late=LATE_SECONDS)
+            record.write("the store loses the answers to some writes")
+        status = installation.ask("front-a-1", "POST", JOB, body)
+        if status in (429, 503):
+            raise CannotRunError("the job was refused")
+        # The client gives the job up, whether it has got an answer or not.
+        status = installation.ask("front-b-1", "DELETE", JOB)
+        acknowledged = time.monotonic()
+        if status not in (200, 410):
+            raise CannotRunError("the cancelling was not acknowledged")
+        time.sleep(max(0.0, begin + LOSS_SECONDS - time.monotonic()))
+        installation.set_store_fault(mode="up")
+        calm_from = time.monotonic() + CONTACT_SECONDS
+        lost = installation.read_output("store").splitlines()
+        record.write(f"the store answers all writes again; until then: {lost[-1:]}")
+        time.sleep(WATCH_SECONDS)
+        late = 0
+        for item in installation.read_runs():
+            record.write(
+                f"{item['worker']}: {item['what']} {item['task']} run {item['run']}, "
+                f"{item['at'] - acknowledged:.3f} s after the cancelling's ack"
+            )
+            is_calm = not has_trouble or item["at"] > calm_from
+            if item["what"] == "start" and is_calm:
+                late += item["at"] > acknowledged + CANCEL_SECONDS
+        state = installation.find_state("front-c-1", JOB)
+        record.write(f"state at the end: {state}; starts that came too late: {late}")
+        return BROKEN if late else HELD
     finally:
         installation.close()
 
--- a/review/support_3/installation.py
+++ b/review/support_3/installation.py
@@ -113,7 +113,7 @@
         self, daemons: int, workers: int, task_seconds: float, extra: dict[str, Any]
     ) -> None:
         port = self.store.partition(":")[2]
-        self._spawn("store", ["-m", "stand_ins.table_store", port, "1"])
+        self._spawn("store", ["-m", "review.support_3.store", port, "1"])
         self._wait(lambda: self.write_config(1, ("key-1", "key-2")), "the store")
         for number in range(workers):
             address = self._ports.take()
@@ -257,6 +257,10 @@
         found = [json.loads(line) for line in lines if line.endswith("}")]
         return sorted(found, key=lambda item: item["at"])
 
+    def read_output(self, name: str) -> str:
+        """Return what a process has printed."""
+        return (self._folder / f"{name}.log").read_text(errors="replace")
+
     def count_events(self, event: str) -> int:
         """Return how often the daemons logged an event."""
         return sum(
