--- a/review/support_3/store.py
+++ b/review/support_3/store.py
@@ -34,11 +34,12 @@
             super()._handle_commit(handler, call, fault)
             return
         self._counts["writes"] += 1
-        if all(item["Key"] != fault["key"] for item in call.get("Writes", ())):
+        is_lost = any(item["Key"] == fault["key"] for item in call.get("Writes", ()))
+        self._counts["lost"] += is_lost
+        print(f"lost {self._counts['lost']} of {self._counts['writes']}", flush=True)
+        if not is_lost:
             super()._handle_commit(handler, call, fault)
             return
-        self._counts["lost"] += 1
-        print(f"lost {self._counts['lost']} of {self._counts['writes']}", flush=True)
         timer = Timer(fault["late"], self._commit, (call,))
         timer.daemon = True
         timer.start()
