--- a/review/support_3/installation.py
+++ b/review/support_3/installation.py
@@ -15,12 +15,10 @@
 from collections.abc import Callable
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
-from signal import SIGSTOP, SIGTERM, signal
+from signal import SIGTERM, signal
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from typing import Any, TextIO
 
-from review.support_3.proxy import SilencingProxy
-
 ROOT = Path(__file__).resolve().parent.parent.parent
 DEPENDENCIES = ROOT / "target" / "deps"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -84,8 +82,6 @@
         daemons: int = 6,
         workers: int = 24,
         task_seconds: float = 0.5,
-        is_proxied: bool = False,
-        kinds: dict[str, str] | None = None,
         **settings: Any,
     ) -> None:
         if not DEPENDENCIES.is_dir():
@@ -96,12 +92,7 @@
         self.runs_path = self._folder / "runs.jsonl"
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self.store = self._ports.take()
-        # Between each daemon and the store, if there are any.
-        self.proxies: dict[str, SilencingProxy] = {}
-        self._is_proxied = is_proxied
         self.settings: dict[str, dict[str, Any]] = {}
-        self.workers: dict[str, str] = {}
-        self._kinds = kinds or {}
         self._worker_args: dict[str, list[str]] = {}
         try:
             self._start(daemons, workers, task_seconds, settings)
@@ -121,19 +112,15 @@
             args += ["booking", f"rack-{number // 8}", str(task_seconds)]
             args.append(str(self.runs_path))
             name = f"worker-{number:02d}"
-            self.workers[name] = address
             self._worker_args[name] = args
-            self.start_worker(name, self._kinds.get(name, "a"))
+            self.start_worker(name)
         for number in range(daemons):
             name = f"front-{'abc'[number % 3]}-{number // 3 + 1}"
             kinds = ("callers", "readiness", "metrics", "relay")
-            if self._is_proxied:
-                self.proxies[name] = SilencingProxy(self.store)
-            store = self.proxies[name].address if self._is_proxied else self.store
             self.settings[name] = {
                 "vm": name,
                 "data_centre": f"zone-{'abc'[number % 3]}",
-                "store": store,
+                "store": self.store,
                 "lease_limit_ms": 10_000,
                 "result_seconds": 120,
                 "far_factor": 3,
@@ -206,23 +193,11 @@
                 return name
         return ""
 
-    def get_pid(self, name: str) -> int:
-        """Return the process id of a daemon."""
-        return self._processes[name].pid
-
     def kill(self, name: str) -> None:
         """Kill a process that this installation started."""
         self._processes[name].kill()
         self._processes[name].wait()
 
-    def stop_for_good(self, name: str) -> None:
-        """Stop a daemon like a machine without power: it answers nothing any more."""
-        self._processes[name].send_signal(SIGSTOP)
-
-    def is_running(self, name: str) -> bool:
-        """Return whether a process has not ended."""
-        return self._processes[name].poll() is None
-
     def ask(
         self,
         name: str,
@@ -276,8 +251,6 @@
         for process in self._processes.values():
             process.wait()
         self._ports.close()
-        for proxy in self.proxies.values():
-            proxy.close()
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self._folder, ignore_errors=True)
 
--- a/review/support_3/worker.py
+++ b/review/support_3/worker.py
@@ -2,8 +2,7 @@
 
 Arguments: those of ``stand_ins.task_worker``, then the kind, and the capacity in
 thousandths of a core. The entry is written at the start and, until the store takes it,
-again after each check-in interval. A ``Spec`` that is a number is the run time of the
-task in seconds, in place of the one among the arguments.
+again after each check-in interval.
 """
 
 import sys
@@ -11,32 +10,16 @@
 from base64 import b64encode
 from json import dumps
 from threading import Thread
-from typing import Any
 
 from urllib3 import PoolManager, Retry
 from urllib3.exceptions import HTTPError
 
 from stand_ins.server import run_server
-from stand_ins.task_worker import Run, TaskWorker, WorkerArgs
+from stand_ins.task_worker import TaskWorker, WorkerArgs
 
 HEARTBEAT_SECONDS = 1.5
 
 
-class SpecWorker(TaskWorker):
-    """Worker whose tasks take the time that their ``Spec`` says."""
-
-    def _execute_start(self, call: dict[str, Any]) -> str:
-        reason = super()._execute_start(call)
-        run = self.runs.get(call["Task"])
-        if not reason and run is not None and call["Spec"].isdigit():
-            run.ends_at = run.started_at + int(call["Spec"])
-        return reason
-
-    def _describe_run(self, run: Run) -> list[Any]:
-        share = (time.monotonic() - run.started_at) / (run.ends_at - run.started_at)
-        return [run.task, run.run, "", min(99, int(share * 100)), 0]
-
-
 def register(worker: TaskWorker, kind: str, cpu: int) -> None:
     """Write the worker's entry to the store; try again at each check-in."""
     http = PoolManager(retries=Retry(total=False), timeout=1.0)
@@ -69,7 +52,7 @@
     args = WorkerArgs(
         int(port), store, name, service, rack, float(seconds), record, address
     )
-    worker = SpecWorker(args, born_ms=int(time.time() * 1000))
+    worker = TaskWorker(args, born_ms=int(time.time() * 1000))
     Thread(target=worker.end_due_runs, daemon=True).start()
     Thread(target=register, args=(worker, kind, int(cpu)), daemon=True).start()
     run_server(args.port, worker.handle)
