--- a/review/support_3/installation.py
+++ b/review/support_3/installation.py
@@ -53,10 +53,10 @@
 
 
 class Record:
-    """The file ``record.txt`` of a case: one line for each thing that happened."""
+    """The record of a case: one line for each thing that happened."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file: TextIO = open(folder / "record.txt", "w")  # noqa: SIM115
+    def __init__(self, path: Path) -> None:
+        self._file: TextIO = open(path, "w")  # noqa: SIM115
         self._begin = time.monotonic()
 
     def now(self) -> float:
@@ -304,13 +304,13 @@
         conn.close()
 
 
-def run_case(folder: Path, case: Callable[[Record, bool], int]) -> int:
-    """Run a case with its record; return the exit status."""
+def run_case(case: Callable[[Record, bool], int], has_trouble: bool, path: Path) -> int:
+    """Run a case and write its record to ``path``; return the exit status."""
     # Also ends the processes of the case if the script itself is stopped.
     signal(SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    record = Record(folder)
+    record = Record(path)
     try:
-        status = case(record, os.environ.get("TROUBLE") != "0")
+        status = case(record, has_trouble)
     except CannotRunError as exc:
         record.write(f"could not run: {exc}")
         status = NOT_RUN
