Store the cancellation of a job that is not stored

Cause: the store may execute a submission without a response seconds later, if the job's row still does not exist. JobStore.cancel stored a cancellation only beside an existing row, so 410 left that condition true. The trace of the new scenario shows it: call_failed (unknown), no row and no line of the cancellation, then job_taken_up 4.0 s later and start, without a takeover or an error in between.

Change: the cancellation is stored before it is answered, whether there is a job or not, and a job that is stored later is taken up as cancelled. Its row names the queues (another queue may use the id) and the time of the last call, is replaced by each call under the versions of both rows, and is kept for twice the retention time. It is removed with a job only if it is as old, and removals have its version as a condition. Rows of earlier versions hold neither queue nor time and apply to any queue.

--- a/geraniumwell/actors/batch/job_store.py
+++ b/geraniumwell/actors/batch/job_store.py
@@ -3,7 +3,7 @@
 Each thread that serves clients has its own connection to the store.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from threading import local
@@ -23,16 +23,23 @@
 )
 from geraniumwell.clients.table_relay import StoreHealth
 from geraniumwell.codec.batch import (
+    decode_cancellation,
     decode_spec,
     decode_state,
+    encode_cancellation,
     encode_spec,
     find_job_partition,
 )
 from geraniumwell.codec.json import CodecError
+from geraniumwell.commands.batch.cancellation import extend_cancellation
 from geraniumwell.const import PARTITION_SCHEDULE, TABLE_JOBS, TABLE_PROGRESS
 from geraniumwell.helpers.event_log import EVENT_LOG
+from geraniumwell.model.batch.cancellation import Cancellation
 from geraniumwell.model.batch.job import JobSpec, JobState
 
+# A conflict needs a submission, a cancellation or a removal of the same id in between.
+CANCEL_ATTEMPTS = 3
+
 
 class JobCallOutcome(Enum):
     """Outcome of a client's call."""
@@ -54,6 +61,41 @@
     state: JobState | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class JobRows:
+    """Rows of a job id in the job table; None for a row that does not exist."""
+
+    job: StoredRow | None
+    cancellation: StoredRow | None
+
+    def holds_job_of(self, queue: str) -> bool:
+        """Return whether the job is stored and was submitted to a queue.
+
+        Raises
+        ------
+        CodecError
+            If the row of the job is unreadable.
+        """
+        return self.job is not None and decode_spec(self.job.value).queue == queue
+
+    def read_cancellation(self) -> Cancellation | None:
+        """Return the stored cancellation.
+
+        Raises
+        ------
+        CodecError
+            If its row is unreadable.
+        """
+        row = self.cancellation
+        return decode_cancellation(row.value, row.version) if row else None
+
+
+def select_job_rows(job_id: str, rows: Iterable[StoredRow]) -> JobRows:
+    """Return the rows of a job id among others."""
+    found = {row.key: row for row in rows if not row.is_deleted}
+    return JobRows(found.get(job_id), found.get(job_id + CANCEL_SUFFIX))
+
+
 class JobStore:
     """Translates the calls of clients into transactions and reads of the store.
 
@@ -98,29 +140,54 @@
                 EVENT_LOG.write("job_known", job=spec.id)
                 return JobCallResult(JobCallOutcome.KNOWN)
 
-    def cancel(self, job_id: str, queue: str) -> JobCallResult:
-        """Store the cancellation of a job."""
+    def cancel(self, job_id: str, queue: str, wall_now: float) -> JobCallResult:
+        """Store the cancellation of a job, also if the store has no such job.
+
+        A submission without a response may be stored later, and the client is told now
+        that nothing will run.
+
+        Parameters
+        ----------
+        wall_now : float
+            Present Unix time in seconds.
+        """
         try:
-            row = self._find_job(job_id, queue)
-            if row is None:
-                return JobCallResult(JobCallOutcome.NO_JOB)
-            # The rows of an ended job may be removed at any moment.
-            condition = Condition(TABLE_JOBS, job_id, row.version)
-            write = RowWrite(TABLE_JOBS, job_id + CANCEL_SUFFIX, b"x")
-            part = find_job_partition(job_id)
-            result = self._store().commit(
-                TableTransaction((condition,), (write,), part=part)
-            )
-        except StoreRefusedError as exc:
+            rows = self._read_job_rows(job_id)
+            for _ in range(CANCEL_ATTEMPTS):
+                is_stored = rows.holds_job_of(queue)
+                result = self._commit_cancellation(rows, job_id, queue, wall_now)
+                match result:
+                    case Committed() if is_stored:
+                        EVENT_LOG.write("cancel_accepted", job=job_id)
+                        return JobCallResult(JobCallOutcome.CANCELLED)
+                    case Committed():
+                        EVENT_LOG.write("cancel_without_job", job=job_id, queue=queue)
+                        return JobCallResult(JobCallOutcome.NO_JOB)
+                    case Conflict(found):
+                        rows = select_job_rows(job_id, found)
+            raise StoreRefusedError("the rows of the job change with each attempt")
+        except (StoreRefusedError, CodecError) as exc:
             return self._report_failure("cancel", job_id, JobCallOutcome.REFUSED, exc)
         except StoreOutcomeUnknownError as exc:
             return self._report_failure("cancel", job_id, JobCallOutcome.UNKNOWN, exc)
-        match result:
-            case Committed():
-                EVENT_LOG.write("cancel_accepted", job=job_id)
-                return JobCallResult(JobCallOutcome.CANCELLED)
-            case Conflict():
-                return JobCallResult(JobCallOutcome.NO_JOB)
+
+    def _commit_cancellation(
+        self, rows: JobRows, job_id: str, queue: str, wall_now: float
+    ) -> Committed | Conflict:
+        cancellation = extend_cancellation(rows.read_cancellation(), queue, wall_now)
+        key = job_id + CANCEL_SUFFIX
+        # An attempt that is executed late must not cancel a later job with the same id.
+        # A cancellation is written anew each time, which keeps it for longer.
+        conditions = (
+            Condition(TABLE_JOBS, job_id, rows.job.version if rows.job else 0),
+            Condition(
+                TABLE_JOBS, key, rows.cancellation.version if rows.cancellation else 0
+            ),
+        )
+        write = RowWrite(TABLE_JOBS, key, encode_cancellation(cancellation))
+        return self._store().commit(
+            TableTransaction(conditions, (write,), part=find_job_partition(job_id))
+        )
 
     def find_state(self, job_id: str, queue: str) -> JobCallResult:
         """Return the state of a job."""
@@ -143,6 +210,12 @@
             return None
         return row if decode_spec(row.value).queue == queue else None
 
+    def _read_job_rows(self, job_id: str) -> JobRows:
+        # The row of the cancellation follows that of the job.
+        part = find_job_partition(job_id)
+        found = self._store().read(TABLE_JOBS, job_id, limit=2, part=part)
+        return select_job_rows(job_id, found.rows)
+
     def _store(self) -> TableClient:
         if self._health.is_unreachable:
             raise StoreRefusedError("the store is unreachable; the call was not sent")
--- a/geraniumwell/actors/batch/job_sweeper.py
+++ b/geraniumwell/actors/batch/job_sweeper.py
@@ -57,14 +57,18 @@
 
 
 def _remove_rows(client: TableClient, job: ExpiredJob, part: str) -> bool:
-    removals = (
-        RowRemoval(TABLE_JOBS, job.id),
-        RowRemoval(TABLE_JOBS, job.id + CANCEL_SUFFIX),
-    )
-    # An earlier attempt may be executed late, after the id was used again.
-    condition = Condition(TABLE_JOBS, job.id, job.version)
+    # An earlier attempt may be executed late, after the id was used or cancelled again.
+    conditions = [Condition(TABLE_JOBS, job.id, job.version)]
+    removals: list[RowRemoval] = []
+    if job.version:
+        removals.append(RowRemoval(TABLE_JOBS, job.id))
+    if job.cancellation_version:
+        key = job.id + CANCEL_SUFFIX
+        conditions.append(Condition(TABLE_JOBS, key, job.cancellation_version))
+        removals.append(RowRemoval(TABLE_JOBS, key))
+    transaction = TableTransaction(tuple(conditions), (), tuple(removals), part)
     try:
-        result = client.commit(TableTransaction((condition,), (), removals, part))
+        result = client.commit(transaction)
     except StoreError as exc:
         JOB_REMOVALS.labels(exc.code).inc()
         EVENT_LOG.write("sweep_failed", job=job.id, code=exc.code)
@@ -72,7 +76,10 @@
     match result:
         case Committed():
             JOB_REMOVALS.labels("removed").inc()
-        case Conflict():
-            # Removed by an earlier attempt or by a former leader.
+        case Conflict(rows):
             JOB_REMOVALS.labels("conflict").inc()
+            # The job was removed by an earlier attempt or a former leader, or a job was
+            # stored beside the cancellation. Otherwise only the cancellation has
+            # changed, and the request has to be made again.
+            return all(row.version != job.version for row in rows if row.key == job.id)
     return True
--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -4,15 +4,17 @@
 
 from geraniumwell.actors.batch.commit_state import CANCEL_SUFFIX, STALLS_SUFFIX
 from geraniumwell.clients.table import StoredRow
-from geraniumwell.codec.batch import decode_progress, decode_spec, decode_stalls
+from geraniumwell.codec.batch import (
+    decode_cancellation,
+    decode_progress,
+    decode_spec,
+    decode_stalls,
+)
 from geraniumwell.codec.interference import decode_interference
 from geraniumwell.codec.json import CodecError
+from geraniumwell.commands.batch.cancellation import apply_cancellation
 from geraniumwell.commands.batch.interference import restore_pairs
-from geraniumwell.commands.batch.lifecycle import (
-    add_job,
-    cancel_job,
-    mark_job_unsaved,
-)
+from geraniumwell.commands.batch.lifecycle import add_job, mark_job_unsaved
 from geraniumwell.commands.batch.registry import (
     apply_all_entries,
     apply_entry,
@@ -30,6 +32,7 @@
 from geraniumwell.const import INTERFERENCE_KEY
 from geraniumwell.helpers.batch_metrics import UNREADABLE_ROWS
 from geraniumwell.helpers.event_log import EVENT_LOG
+from geraniumwell.model.batch.cancellation import Cancellation
 from geraniumwell.model.batch.cluster import Cluster, Order
 from geraniumwell.model.batch.job import Job
 from geraniumwell.model.batch.worker import WorkerEntry
@@ -144,12 +147,17 @@
             job_id = row.key.removesuffix(CANCEL_SUFFIX)
             is_cancellation = job_id != row.key
             if row.is_deleted and is_cancellation:
-                record_removed_cancellation(self._cluster, job_id)
+                record_removed_cancellation(self._cluster, job_id, row.version)
             elif row.is_deleted:
                 record_removed_row(self._cluster, job_id, row.version)
             elif is_cancellation:
-                EVENT_LOG.write("job_cancelled", job=job_id)
-                orders += cancel_job(self._cluster, job_id, now, wall_now)
+                cancellation = self._read_cancellation(row)
+                EVENT_LOG.write(
+                    "job_cancelled", job=job_id, queues=list(cancellation.queues)
+                )
+                orders += apply_cancellation(
+                    self._cluster, job_id, cancellation, now, wall_now
+                )
             elif is_new_row(self._cluster, job_id, row.version):
                 self._add_job(row, wall_now)
         return orders
@@ -179,6 +187,14 @@
             age=round(wall_now - spec.accepted_at, 3),
         )
 
+    def _read_cancellation(self, row: StoredRow) -> Cancellation:
+        try:
+            return decode_cancellation(row.value, row.version)
+        except CodecError as exc:
+            self._report_unreadable("cancellation", row.key, exc)
+            # Skipping it could start a job that its client has cancelled.
+            return Cancellation(version=row.version)
+
     def _read_entry(self, row: StoredRow) -> WorkerEntry | None:
         try:
             return self._decode_entry(row.key, row.value)
--- a/geraniumwell/codec/batch.py
+++ b/geraniumwell/codec/batch.py
@@ -6,6 +6,7 @@
 from geraniumwell.codec.json import CodecError
 from geraniumwell.codec.packed_rows import pack_row, unpack_row
 from geraniumwell.const import JOB_PARTITIONS
+from geraniumwell.model.batch.cancellation import Cancellation
 from geraniumwell.model.batch.job import (
     Job,
     JobSpec,
@@ -18,6 +19,9 @@
 from geraniumwell.model.batch.leader import LeaderRow
 from geraniumwell.model.batch.peer import Peer
 
+# Content of the cancellations that earlier versions stored.
+EARLIER_CANCELLATION = b"x"
+
 
 def find_job_partition(job_id: str) -> str:
     """Return the store partition of a job and its cancellation."""
@@ -40,6 +44,25 @@
     return unpack_row(data, JobSpec)
 
 
+def encode_cancellation(cancellation: Cancellation) -> bytes:
+    """Return the row of a cancellation."""
+    return pack_row([cancellation.queues, cancellation.cancelled_at])
+
+
+def decode_cancellation(data: bytes, version: int) -> Cancellation:
+    """Return the cancellation in a row with a version of the store.
+
+    Raises
+    ------
+    CodecError
+        If the row holds something else.
+    """
+    if data == EARLIER_CANCELLATION:
+        return Cancellation(version=version)
+    queues, cancelled_at = unpack_row(data, tuple[tuple[str, ...], float])
+    return Cancellation(queues, cancelled_at, version)
+
+
 def encode_leader(row: LeaderRow) -> bytes:
     """Return the row of the leader."""
     return pack_row(row)
--- a/geraniumwell/commands/batch/lifecycle.py
+++ b/geraniumwell/commands/batch/lifecycle.py
@@ -32,6 +32,8 @@
 def add_job(cluster: Cluster, spec: JobSpec, wall_now: float, version: int = 0) -> None:
     """Add an accepted job, unless it is already known.
 
+    A job whose id was cancelled before its row was stored ends as cancelled.
+
     Parameters
     ----------
     version : int
@@ -41,8 +43,8 @@
         return
     job = Job(spec, version=version)
     register_job(cluster, job)
-    if spec.id in cluster.early_cancelled_jobs:
-        cluster.early_cancelled_jobs.discard(spec.id)
+    cancellation = cluster.cancellations.get(spec.id)
+    if cancellation is not None and cancellation.applies_to(spec.queue):
         end_job(cluster, job, JobState.CANCELLED, wall_now)
         return
     open_due_occurrences(job, wall_now)
@@ -68,10 +70,7 @@
 ) -> list[Order]:
     """Cancel a job on request of its caller; return the stop orders."""
     job = cluster.jobs.get(job_id)
-    if job is None or job_id in cluster.removals.removed:
-        cluster.early_cancelled_jobs.add(job_id)
-        return []
-    if job.state in ENDED_STATES:
+    if job is None or job.state in ENDED_STATES:
         return []
     return end_job(cluster, job, JobState.CANCELLED, wall_now, now)
 
--- a/geraniumwell/commands/batch/retention.py
+++ b/geraniumwell/commands/batch/retention.py
@@ -4,10 +4,14 @@
 fail, may be executed late, and a read that began before may still return the row. So an
 ended job stays known until the feed of the job table has shown that its row is gone and
 the removal of its progress is confirmed.
+
+A cancellation has a retention time of its own: another submission of its job, or one to
+another queue, may still be stored late when the job that is known is removed.
 """
 
 from collections.abc import Collection, Iterable, Set
 
+from geraniumwell.model.batch.cancellation import Cancellation
 from geraniumwell.model.batch.cluster import Cluster
 from geraniumwell.model.batch.job import ENDED_STATES, Job
 from geraniumwell.model.batch.removal import ExpiredJob
@@ -33,12 +37,18 @@
     if state.in_flight or now < state.retry_at:
         return ()
     known = state.requested | state.removed
-    # The store holds a cancellation only beside its job, so the job was removed.
+    expired = {
+        job_id: cancellation.version
+        for job_id, cancellation in cluster.cancellations.items()
+        if is_cancellation_expired(cluster, cancellation, wall_now)
+    }
     cancellations = [
-        ExpiredJob(job_id, 0) for job_id in cluster.early_cancelled_jobs - known
+        ExpiredJob(job_id, 0, version)
+        for job_id, version in expired.items()
+        if job_id not in cluster.jobs and job_id not in known
     ]
     jobs = [
-        ExpiredJob(job_id, job.version)
+        ExpiredJob(job_id, job.version, expired.get(job_id, 0))
         for job_id, job in cluster.jobs.items()
         if job_id not in known
         and job_id not in uncommitted
@@ -61,6 +71,17 @@
     )
 
 
+def is_cancellation_expired(
+    cluster: Cluster, cancellation: Cancellation, wall_now: float
+) -> bool:
+    """Return whether twice the retention time of a cancellation is over.
+
+    Submissions that are stored late arrive within seconds.
+    """
+    age = wall_now - cancellation.cancelled_at
+    return age > cluster.policy.result_seconds * 2
+
+
 def record_removals(cluster: Cluster, removed: Collection[str], now: float) -> None:
     """Record the result of a request; removals without a result are made again later.
 
@@ -93,8 +114,8 @@
 
     The caller applies the rows after this, and with them the cancellations.
     """
-    for job_id in list(cluster.early_cancelled_jobs):
-        record_removed_cancellation(cluster, job_id)
+    for job_id in list(cluster.cancellations):
+        _forget_cancellation(cluster, job_id)
     for job_id, job in cluster.jobs.items():
         if job_id not in present:
             _mark_removed(cluster, job)
@@ -106,10 +127,19 @@
         cluster.removals.removed.add(job.spec.id)
 
 
-def record_removed_cancellation(cluster: Cluster, job_id: str) -> None:
-    """Record that the cancellation of a job was removed."""
-    if job_id in cluster.early_cancelled_jobs:
-        cluster.early_cancelled_jobs.discard(job_id)
+def record_removed_cancellation(cluster: Cluster, job_id: str, version: int) -> None:
+    """Record that the cancellation of a job id was removed at a version of the store.
+
+    After a complete read the feed may report a removal that is older than the row.
+    """
+    cancellation = cluster.cancellations.get(job_id)
+    if cancellation is not None and cancellation.version < version:
+        _forget_cancellation(cluster, job_id)
+
+
+def _forget_cancellation(cluster: Cluster, job_id: str) -> None:
+    del cluster.cancellations[job_id]
+    if job_id not in cluster.jobs:
         cluster.removals.requested.discard(job_id)
 
 
--- a/geraniumwell/model/batch/cluster.py
+++ b/geraniumwell/model/batch/cluster.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from geraniumwell.model.batch.cancellation import Cancellation
 from geraniumwell.model.batch.capacity import FleetIndex
 from geraniumwell.model.batch.catalog import Catalog
 from geraniumwell.model.batch.interference import InterferenceTable
@@ -47,8 +48,8 @@
         Ids of the jobs whose progress is not stored yet.
     unsaved_stalls, jobs_with_stall_rows : set of str
         Ids of the jobs whose stalls have changed, and of those with stored stalls.
-    early_cancelled_jobs : set of str
-        Ids of the jobs that were cancelled before their definition arrived.
+    cancellations : dict
+        Stored cancellations by job id, also of ids without a job.
     unreadable_jobs : set of str
         Ids of the jobs whose progress can't be read. Their tasks may have run, so they
         are not started.
@@ -84,7 +85,7 @@
     unsaved_jobs: set[str] = field(default_factory=set)
     unsaved_stalls: set[str] = field(default_factory=set)
     jobs_with_stall_rows: set[str] = field(default_factory=set)
-    early_cancelled_jobs: set[str] = field(default_factory=set)
+    cancellations: dict[str, Cancellation] = field(default_factory=dict)
     unreadable_jobs: set[str] = field(default_factory=set)
     changed_workers: set[str] = field(default_factory=set)
     changed_jobs: set[str] = field(default_factory=set)
--- a/geraniumwell/model/batch/removal.py
+++ b/geraniumwell/model/batch/removal.py
@@ -1,11 +1,11 @@
-"""Ended jobs whose rows are being removed from the store."""
+"""Ended jobs and cancellations whose rows are being removed from the store."""
 
 from dataclasses import dataclass, field
 
 
 @dataclass(slots=True, frozen=True)
 class ExpiredJob:
-    """A job whose rows are to be removed.
+    """A job id whose rows are to be removed.
 
     Parameters
     ----------
@@ -13,10 +13,13 @@
         Id of the job.
     version : int
         Version of the job's row; 0 if there is only a cancellation.
+    cancellation_version : int
+        Version of the cancellation; 0 if there is none, or if it is kept for longer.
     """
 
     id: str
     version: int
+    cancellation_version: int = 0
 
 
 @dataclass(slots=True)
--- a/geraniumwell/platform/client_app.py
+++ b/geraniumwell/platform/client_app.py
@@ -127,7 +127,9 @@
                 result = self._job_store.find_state(job_id, access.queue.name)
                 return self._make_response("state", result)
             case "DELETE":
-                result = self._job_store.cancel(job_id, access.queue.name)
+                result = self._job_store.cancel(
+                    job_id, access.queue.name, stable_wall_seconds()
+                )
                 return self._make_response("cancel", result)
         return "access", 405, b"{}"
 
--- a/geraniumwell/queries/batch/trace.py
+++ b/geraniumwell/queries/batch/trace.py
@@ -19,6 +19,7 @@
     "stop",
     "end",
     "cancel_accepted",
+    "cancel_without_job",
     "job_cancelled",
     "job_ended",
 )
--- a/tests/actors/batch/job_removal.feature
+++ b/tests/actors/batch/job_removal.feature
@@ -63,3 +63,31 @@
     Then the store has no row of the job that ended
     When the job is submitted again
     Then the job is started
+
+  Scenario Outline: A job that is stored late is not started if it was cancelled before
+    Guards against a job that starts seconds after its client was told that there is no such
+    job. Whatever the scheduler does in between, it has to know the cancellation.
+
+    Given a store with an ended job of another queue under the same id
+    And a submission that gets no response
+    When the client cancels the job and is told that there is no such job
+    And <event>
+    And another job is submitted
+    Then only the other job is started
+    And the job is stored as cancelled
+
+    Examples:
+      | event                                                                     |
+      | a scheduler removes the ended job, and the submission is executed         |
+      | a scheduler removes the ended job, another one takes over, and the submission is executed |
+      | a scheduler removes the ended job, the store loses its history, and the submission is executed |
+      | the ended job is removed, the submission is executed, and a scheduler loads both rows |
+
+  # Guards against a cancellation that is removed although it was stored again just now: a
+  # submission that is stored late would start.
+  Scenario: A late removal does not affect a cancellation that was stored again
+    Given a store with a cancellation of a job without a row
+    And the store executes late the removal of the job's rows
+    When the scheduler has tried to remove the rows
+    And the fault ends after the id was cancelled again
+    Then the cancellation is still stored
--- a/tests/actors/batch/job_removal_steps.py
+++ b/tests/actors/batch/job_removal_steps.py
@@ -6,9 +6,11 @@
 from behave.runner import Context
 
 from geraniumwell.actors.batch.commit_state import CANCEL_SUFFIX, STALLS_SUFFIX
+from geraniumwell.actors.batch.job_store import JobCallOutcome, JobStore
 from geraniumwell.actors.batch.scheduler import Scheduler
 from geraniumwell.actors.batch.scheduler_dependencies import SchedulerDependencies
 from geraniumwell.actors.ticker import Ticker
+from geraniumwell.clients.table_relay import StoreHealth
 from geraniumwell.codec.batch import (
     decode_state,
     encode_leader,
@@ -40,6 +42,8 @@
 WAIT_SECONDS = 20.0
 ENDED = "00000000000000a1"
 OTHER = "00000000000000b2"
+# Queue of the submissions that are cancelled; the job that ended is of another one.
+CANCELLED_QUEUE = "renders"
 RETENTION_SECONDS = 60.0
 
 
@@ -95,6 +99,81 @@
     context.store.put(TABLE_JOBS, part, ENDED + CANCEL_SUFFIX, b"x")
 
 
+@given("a store with an ended job of another queue under the same id")
+def step_other_queue(context: Context) -> None:
+    context.store = MemoryTable()
+    put_ended_job(context.store, 10 * RETENTION_SECONDS)
+
+
+@given("a submission that gets no response")
+def step_lost_submission(context: Context) -> None:
+    table: MemoryTable = context.store
+    part = find_job_partition(ENDED)
+    table.delayed_parts.add(part)
+    spec = make_job(ENDED, make_step(), queue=CANCELLED_QUEUE)
+    result = JobStore(lambda: table, StoreHealth()).submit(spec)
+    assert result.code is JobCallOutcome.UNKNOWN, result
+    table.delayed_parts.clear()
+
+
+@when("the client cancels the job and is told that there is no such job")
+def step_cancelled(context: Context) -> None:
+    jobs = JobStore(lambda: context.store, StoreHealth())
+    result = jobs.cancel(ENDED, CANCELLED_QUEUE, stable_wall_seconds())
+    assert result.code is JobCallOutcome.NO_JOB, result
+
+
+def remove_ended_job(context: Context) -> None:
+    """Start a scheduler and wait until it has removed the ended job."""
+    start_scheduler(context)
+    table: MemoryTable = context.store
+    # The progress is removed last.
+    wait_until(lambda: not table.list_keys(TABLE_PROGRESS), "the removal")
+    assert table.list_keys(TABLE_JOBS) == [ENDED + CANCEL_SUFFIX]
+
+
+@when("a scheduler removes the ended job, and the submission is executed")
+def step_late_submission(context: Context) -> None:
+    remove_ended_job(context)
+    context.store.execute_delayed()
+
+
+@when(
+    "a scheduler removes the ended job, another one takes over, and the submission is"
+    " executed"
+)
+def step_late_after_takeover(context: Context) -> None:
+    remove_ended_job(context)
+    start_scheduler(context)
+    wait_until(lambda: not context.polled.empty(), "the new scheduler")
+    context.store.execute_delayed()
+
+
+@when(
+    "a scheduler removes the ended job, the store loses its history, and the submission"
+    " is executed"
+)
+def step_late_after_lost_history(context: Context) -> None:
+    remove_ended_job(context)
+    # The complete read has returned the cancellation, but is not finished.
+    step_held_read(context)
+    context.store.execute_delayed()
+    context.store.read_gate.set()
+
+
+@when(
+    "the ended job is removed, the submission is executed, and a scheduler loads both"
+    " rows"
+)
+def step_late_before_load(context: Context) -> None:
+    table: MemoryTable = context.store
+    table.remove(TABLE_JOBS, find_job_partition(ENDED), ENDED)
+    table.remove(TABLE_PROGRESS, PARTITION_SCHEDULE, ENDED)
+    table.execute_delayed()
+    assert table.list_keys(TABLE_JOBS) == [ENDED, ENDED + CANCEL_SUFFIX]
+    start_scheduler(context)
+
+
 @given("a scheduler")
 def step_scheduler(context: Context) -> None:
     start_scheduler(context)
@@ -191,6 +270,13 @@
     submit(context.store, ENDED)
 
 
+@when("the fault ends after the id was cancelled again")
+def step_cancelled_again(context: Context) -> None:
+    context.store.delayed_parts.clear()
+    step_cancelled(context)
+    step_fault_ends(context)
+
+
 @when("the fault ends")
 def step_fault_ends(context: Context) -> None:
     table: MemoryTable = context.store
@@ -212,6 +298,23 @@
     assert order.id.job == ENDED, order
 
 
+@then("the job is stored as cancelled")
+def step_stored_as_cancelled(context: Context) -> None:
+    table: MemoryTable = context.store
+
+    def is_cancelled() -> bool:
+        row = table.find(TABLE_PROGRESS, PARTITION_SCHEDULE, ENDED)
+        return row is not None and decode_state(row.value)[0] is JobState.CANCELLED
+
+    wait_until(is_cancelled, "the end of the job")
+    assert ENDED in table.list_keys(TABLE_JOBS)
+
+
+@then("the cancellation is still stored")
+def step_cancellation_stored(context: Context) -> None:
+    assert ENDED + CANCEL_SUFFIX in context.store.list_keys(TABLE_JOBS)
+
+
 @then("the store has no row of the job that ended")
 def step_no_rows(context: Context) -> None:
     def has_rows() -> bool:
--- a/tests/actors/batch/whole_path.feature
+++ b/tests/actors/batch/whole_path.feature
@@ -100,6 +100,25 @@
     Then the job "00000000000000a1" reaches the state "cancelled" on "d1"
     And all its runs end as "stopped"
 
+  Scenario Outline: A job that is stored after its cancelling was acknowledged never runs
+    Guards against a submission without a response that the store executes late: the client
+    was told that there is no such job, and its tasks started seconds later.
+
+    Given 2 daemons and 2 workers whose tasks take 0.3 seconds
+    When the writes of the job "00000000000000a1" get no response and take effect <late> seconds later
+    Then submitting the job "00000000000000a1" to "d1" fails with status 504
+    And cancelling the job "00000000000000a1" through "d2" is answered with status 410
+    When the store recovers
+    And <event>
+    And the row of the job "00000000000000a1" is stored
+    Then the job "00000000000000a1" reaches the state "cancelled" on one of the daemons
+    And no task has started
+
+    Examples:
+      | late | event                                 |
+      | 4    | the store compacts its change history |
+      | 6    | the scheduling daemon is killed       |
+
   # Guards against a task that runs a second time when its first start takes effect late.
   Scenario: A start without an answer that is carried out late does no harm
     Given 1 daemons and 2 workers whose tasks take 0.5 seconds
--- a/tests/actors/batch/whole_path_steps.py
+++ b/tests/actors/batch/whole_path_steps.py
@@ -203,6 +203,14 @@
     get_installation(context).set_store_fault(mode="lose_answers")
 
 
+@when(
+    'the writes of the job "{job}" get no response and take effect {late:d}'
+    " seconds later"
+)
+def step_late_writes(context: Context, job: str, late: int) -> None:
+    get_installation(context).set_store_fault(mode="lose_answers", key=job, late=late)
+
+
 @when("the store recovers")
 def step_store_recovers(context: Context) -> None:
     installation = get_installation(context)
@@ -251,6 +259,17 @@
     )
 
 
+@when('the row of the job "{job}" is stored')
+def step_row_stored(context: Context, job: str) -> None:
+    installation = get_installation(context)
+    part = find_job_partition(job)
+
+    def is_stored() -> bool:
+        return job in [row["Key"] for row in installation.list_rows(TABLE_JOBS, part)]
+
+    wait_until(is_stored, "the row of the job")
+
+
 @then('the rows of the job "{job}" are removed from the store')
 def step_rows_removed(context: Context, job: str) -> None:
     installation = get_installation(context)
@@ -277,6 +296,22 @@
     assert get_installation(context).ask(name, "DELETE", job).status == 200
 
 
+@then('cancelling the job "{job}" through "{name}" is answered with status {status:d}')
+def step_cancel_status(context: Context, job: str, name: str, status: int) -> None:
+    found = get_installation(context).ask(name, "DELETE", job).status
+    assert found == status, found
+
+
+@then('the job "{job}" reaches the state "{state}" on one of the daemons')
+def step_becomes_any(context: Context, job: str, state: str) -> None:
+    step_becomes(context, job, state, other_daemon(context))
+
+
+@then("no task has started")
+def step_none_started(context: Context) -> None:
+    assert count(context, "start") == 0
+
+
 @then('all its runs end as "{how}"')
 def step_all_end(context: Context, how: str) -> None:
     wait_until(lambda: count(context, how) >= 2, f"the runs being {how}")
--- a/tests/codec/batch.feature
+++ b/tests/codec/batch.feature
@@ -15,6 +15,12 @@
     Given a stored job without the fields "image may_miss"
     Then it is read with the default values of these fields
 
+  # Guards against a job that starts after the update to a newer version although its
+  # client has cancelled it.
+  Scenario: A cancellation that an earlier version stored applies to the job of any queue
+    Given the cancellation that an earlier version stored
+    Then it is read as a cancellation of any queue
+
   Scenario Outline: A row that holds something else is refused with a code
     When the bytes "<bytes>" are read as a <kind>
     Then the error is "codec_error"
@@ -24,6 +30,7 @@
       | xyz   | spec     |
       | xyz   | leader   |
       | xyz   | progress |
+      | xyz   | cancellation |
       | xyz   | peer     |
       |       | spec     |
       | xyz   | table    |
--- a/tests/codec/batch_steps.py
+++ b/tests/codec/batch_steps.py
@@ -9,6 +9,7 @@
 from msgspec.msgpack import encode
 
 from geraniumwell.codec.batch import (
+    decode_cancellation,
     decode_leader,
     decode_peer,
     decode_progress,
@@ -19,6 +20,7 @@
 )
 from geraniumwell.codec.interference import decode_interference
 from geraniumwell.exceptions import GeraniumwellError
+from geraniumwell.model.batch.cancellation import Cancellation
 from geraniumwell.model.batch.job import Job, JobState, Phase, open_occurrence
 from tests.support.batch import make_job, make_step
 
@@ -27,6 +29,7 @@
     "leader": decode_leader,
     "progress": decode_state,
     "peer": decode_peer,
+    "cancellation": partial(decode_cancellation, version=1),
     "table": partial(decode_interference, now=0.0, wall_now=0.0),
 }
 
@@ -53,6 +56,16 @@
     context.job = Job(make_job("j", make_step()), JobState.CANCELLED, ended_at=5.0)
 
 
+@given("the cancellation that an earlier version stored")
+def step_earlier_cancellation(context: Context) -> None:
+    context.data = b"x"
+
+
+@then("it is read as a cancellation of any queue")
+def step_any_queue(context: Context) -> None:
+    assert decode_cancellation(context.data, 7) == Cancellation((), 0.0, 7)
+
+
 @when("its progress is encoded and decoded")
 def step_round_trip(context: Context) -> None:
     context.data = encode_progress(context.job)
--- a/tests/support/memory_table.py
+++ b/tests/support/memory_table.py
@@ -71,6 +71,12 @@
         self.held_reads = 0
         self.read_gate = Event()
 
+    @property
+    def version(self) -> int:
+        """Version of the last transaction."""
+        with self._changed:
+            return self._version
+
     def put(self, table: str, part: str, key: str, value: bytes) -> int:
         """Write a row and return its version."""
         with self._changed:
