Ignore repeated cancellations that are older than the job

What callers could see: an accepted job is shown as cancelled although nobody cancelled it (LOST), if its id was used before.

Cause: a complete read covers 16 partitions, one after another, and the feed continues from the earliest of their versions. So it repeats changes that the read already contained, also the cancellation of an earlier job that was removed since, and that was applied to the job that uses its id now.

Change: a cancellation cancels a known job only if its row is newer than the job's. A job that was stored after its cancellation is cancelled when it is added; for that, cancellations come first in a complete read, also in the load of a new scheduler.

Conclusion: repeated changes have no effect on later jobs.

--- a/geraniumwell/actors/batch/row_applier.py
+++ b/geraniumwell/actors/batch/row_applier.py
@@ -1,6 +1,6 @@
 """Applies rows of the store to the state of the scheduler."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from geraniumwell.actors.batch.commit_state import CANCEL_SUFFIX, STALLS_SUFFIX
 from geraniumwell.clients.table import StoredRow
@@ -136,7 +136,7 @@
             restore_pairs(self._cluster.interference, pairs)
 
     def apply_jobs(
-        self, rows: tuple[StoredRow, ...], now: float, wall_now: float
+        self, rows: Iterable[StoredRow], now: float, wall_now: float
     ) -> list[Order]:
         """Apply rows of the job table in order; return the resulting orders.
 
@@ -165,9 +165,14 @@
     def apply_all_jobs(
         self, rows: tuple[StoredRow, ...], now: float, wall_now: float
     ) -> list[Order]:
-        """Apply a complete read of the job table; return the resulting orders."""
+        """Apply a complete read of the job table; return the resulting orders.
+
+        The rows are sorted by key. Cancellations are applied first, because a job may
+        have been stored after its cancellation.
+        """
         record_all_rows(self._cluster, {row.key for row in rows})
-        return self.apply_jobs(rows, now, wall_now)
+        in_order = sorted(rows, key=lambda row: not row.key.endswith(CANCEL_SUFFIX))
+        return self.apply_jobs(in_order, now, wall_now)
 
     def _add_job(self, row: StoredRow, wall_now: float) -> None:
         try:
--- a/geraniumwell/actors/batch/scheduler.py
+++ b/geraniumwell/actors/batch/scheduler.py
@@ -211,7 +211,7 @@
         self._row_applier.restore_interference(control.rows, now, wall_now)
         self._row_applier.apply_registry(registry.rows, now)
         self._row_applier.restore_jobs(jobs, progress.rows, now)
-        self._dispatch(self._row_applier.apply_jobs(jobs, now, wall_now))
+        self._dispatch(self._row_applier.apply_all_jobs(jobs, now, wall_now))
         self._cluster.earlier_pending = None
         self._is_loaded = True
         self._request_plan()
--- a/geraniumwell/commands/batch/cancellation.py
+++ b/geraniumwell/commands/batch/cancellation.py
@@ -31,9 +31,10 @@
     now: float,
     wall_now: float,
 ) -> list[Order]:
-    """Record a stored cancellation, and cancel the job if it is known.
+    """Record a stored cancellation, and cancel the job that was stored before it.
 
-    Return the stop orders for its running tasks.
+    Return the stop orders for its running tasks. A job that is stored later is
+    cancelled when it is added, if the cancellation is still stored then.
     """
     known = cluster.cancellations.get(job_id)
     if known is not None and known.version > cancellation.version:
@@ -45,6 +46,9 @@
         # An earlier row of the cancellation may have been requested to be removed.
         cluster.removals.requested.discard(job_id)
         return []
+    if cancellation.version < job.version:
+        # The feed may repeat the cancellation of an earlier job with the same id.
+        return []
     if not cancellation.applies_to(job.spec.queue):
         return []
     return cancel_job(cluster, job_id, now, wall_now)
--- a/tests/actors/batch/removal_simulation.py
+++ b/tests/actors/batch/removal_simulation.py
@@ -259,7 +259,7 @@
         restored = leader.cluster.jobs.values()
         self.begun |= {make_key(job) for job in restored if job.has_begun}
         self.ended |= {make_key(job) for job in restored if job.state in ENDED_STATES}
-        leader.applier.apply_jobs(found.rows, now, wall_now)
+        leader.applier.apply_all_jobs(found.rows, now, wall_now)
         leader.is_loaded = True
 
     def _commit(self, leader: SimulatedLeader) -> None:
--- a/tests/commands/batch/planning_steps.py
+++ b/tests/commands/batch/planning_steps.py
@@ -166,7 +166,7 @@
 @given('the job "{name}" is cancelled at second {now:g}')
 @when('the job "{name}" is cancelled at second {now:g}')
 def step_cancel(context: Context, name: str, now: float) -> None:
-    cancellation = Cancellation(cancelled_at=WALL + now)
+    cancellation = Cancellation(cancelled_at=WALL + now, version=1)
     apply_cancellation(context.cluster, name, cancellation, now, WALL + now)
 
 
