Cancel submissions of serve that may be stored late

What operators saw: "cancel job" of an id whose submission was answered as unknown is refused with "no such job is recorded", and the job starts once its row is found (by a scan, up to 300 s later).

Cause: the table forgets a submission that it no longer repeats, although the platform may still store it. A cancellation that waited behind the submission was dropped with it, and its reply never came.

Change: the table remembers the submissions that it has given up, up to 1,000, until their row is seen or written. Their cancellation is written under the condition that the job has no row, so only one of the two takes effect. A cancellation behind a submission that is given up is written. Ruled out for a new decider: writes depend on the claim, so those of a former decider can't be stored after a takeover.

Measured: both examples of "A submission that is stored late does not run if it was cancelled" (job_manager.feature) failed before and pass; 95 scenarios of jobs and gangs passed.

--- a/geraniumwell/actors/job_manager.py
+++ b/geraniumwell/actors/job_manager.py
@@ -225,7 +225,8 @@
             reason = "the platform is down, so nothing can be recorded"
             message.reply.set(JobRefused(job_id, "platform_unavailable", reason))
             return
-        record = self._table.get(job_id)
+        # A submission without a response may be stored later, and must not start then.
+        record = self._table.get(job_id) or self._table.get_abandoned(job_id)
         match decide_cancel(record, message.author, message.reason):
             case CancelRefused(code, reason):
                 message.reply.set(JobRefused(job_id, code, reason))
--- a/geraniumwell/actors/job_table.py
+++ b/geraniumwell/actors/job_table.py
@@ -28,6 +28,10 @@
 from geraniumwell.model.worker import TaskLease
 from geraniumwell.util.ids import make_token_hex
 
+# Submissions without a response that can still be cancelled. After an outage only the
+# latest ones are kept, because each of them holds the definition of its job.
+ABANDONED_LIMIT = 1_000
+
 
 @dataclass(slots=True, frozen=True)
 class SubmitWrite:
@@ -137,6 +141,7 @@
     """
 
     __slots__ = (
+        "_abandoned",
         "_data_centre",
         "_link",
         "_receiver",
@@ -167,6 +172,7 @@
         self._stored: dict[str, _StoredRecord] = {}
         self._queues: dict[str, list[_Write]] = {}
         self._by_tag: dict[str, str] = {}
+        self._abandoned: dict[str, JobRecord] = {}
         self.unfinished: dict[str, JobRecord] = {}
         self.is_scan_due = False
 
@@ -204,6 +210,7 @@
             record = self._decode(row)
             if record is not None:
                 self._stored[job_id] = _StoredRecord(record, row.version, row.value)
+                self._abandoned.pop(job_id, None)
                 self._refresh_unfinished(job_id)
                 events.append(ChangedExternally(record))
         return events
@@ -212,6 +219,7 @@
         """Write a record once the earlier writes of the job are confirmed."""
         record = replace(record, epoch=self._epoch)
         job_id = record.job.job_id
+        self._abandoned.pop(job_id, None)
         queue = self._queues.setdefault(job_id, [])
         queue.append(_Write(record, purpose))
         self._refresh_unfinished(job_id)
@@ -246,11 +254,31 @@
         return tuple((w.record, w.purpose) for w in writes)
 
     def abandon(self, job_id: str) -> None:
-        """Stop repeating the writes of a job; one in flight may still take effect."""
-        for write in self._queues.pop(job_id, []):
+        """Stop repeating the submission of a job; it may still take effect.
+
+        A cancellation that waits behind it is written at once. Both have the condition
+        that the job has no row, so that only one of them takes effect.
+        """
+        writes = self._queues.pop(job_id, [])
+        for write in writes:
             self._by_tag.pop(write.tag, None)
         self.is_scan_due = True
         self._refresh_unfinished(job_id)
+        if writes:
+            self._remember_abandoned(writes[0].record)
+        for write in writes[1:]:
+            match write.purpose:
+                case CancelWrite():
+                    self.write(write.record, write.purpose)
+
+    def _remember_abandoned(self, record: JobRecord) -> None:
+        if len(self._abandoned) >= ABANDONED_LIMIT:
+            del self._abandoned[next(iter(self._abandoned))]
+        self._abandoned[record.job.job_id] = record
+
+    def get_abandoned(self, job_id: str) -> JobRecord | None:
+        """Return the record of a submission that may still take effect."""
+        return self._abandoned.get(job_id)
 
     def owns_tag(self, tag: str) -> bool:
         """Return whether a response belongs to a write of this table."""
--- a/tests/actors/job_manager.feature
+++ b/tests/actors/job_manager.feature
@@ -59,3 +59,21 @@
     Then the start is being written and no worker was called
     When the write is confirmed
     Then both workers were asked to reserve
+
+  Scenario Outline: A submission that is stored late does not run if it was cancelled
+    Guards against a job that starts after its operator was told that no such job is
+    recorded, and against a cancellation that is dropped with the submission before it.
+
+    When the submission of another job is being written
+    And the other job is cancelled <moment>
+    Then the submission is answered as unknown
+    And the cancellation is being written on the condition that the job has no row
+    When the write is confirmed
+    Then the cancellation is answered as accepted
+    When the submission is stored late
+    Then the other job's record has the state "cancelled"
+
+    Examples:
+      | moment                          |
+      | after its write got no answer   |
+      | while its write is not answered |
--- a/tests/actors/job_manager_steps.py
+++ b/tests/actors/job_manager_steps.py
@@ -8,13 +8,13 @@
 from pykka import ThreadingFuture
 
 from geraniumwell.actors.gang_runner import GangRunner
-from geraniumwell.actors.job_manager import JobManager
-from geraniumwell.actors.job_table import JobTable, StateWrite
+from geraniumwell.actors.job_manager import UNANSWERED_LIMIT, JobManager
+from geraniumwell.actors.job_table import JobTable, StateWrite, SubmitWrite
 from geraniumwell.actors.worker_pool import WorkerPool
-from geraniumwell.clients.platform import Row
-from geraniumwell.codec.jobs import encode_record, make_job_key
+from geraniumwell.clients.platform import Condition, Row
+from geraniumwell.codec.jobs import decode_record, encode_record, make_job_key
 from geraniumwell.commands.gangs.policy import Policy
-from geraniumwell.messages.gangs import CancelJob
+from geraniumwell.messages.gangs import CancelJob, JobAccepted, JobOutcomeUnknown
 from geraniumwell.messages.platform import ReadRows, Transact
 from geraniumwell.messages.workers import TaskAnswered
 from geraniumwell.model.config import Configuration, Organisation
@@ -207,3 +207,72 @@
 @then('the job\'s record has the state "{state}"')
 def step_record(context: Context, state: str) -> None:
     assert context.rows.get("g-1").state == state, context.rows.get("g-1")
+
+
+@when("the submission of another job is being written")
+def step_submit_other(context: Context) -> None:
+    context.other = JobRecord(convert(make_job("g-2", 2), Job), JobState.ACCEPTED)
+    context.submission = ThreadingFuture()
+    context.rows.write(context.other, SubmitWrite(context.submission))
+
+
+def lose_answers(context: Context) -> None:
+    """Leave the write and the reads of its row unanswered until it is abandoned."""
+    for _ in range(UNANSWERED_LIMIT):
+        tag = context.link.messages[-1].tag
+        events = context.rows.handle_failed(tag)
+        context.manager.handle_table_events(events, AT)
+        context.rows.repeat_unanswered()
+
+
+def cancel_other(context: Context) -> None:
+    """Cancel the other job."""
+    context.cancellation = ThreadingFuture()
+    message = CancelJob("g-2", "ana", "no longer needed", context.cancellation)
+    context.manager.cancel(message, is_platform_down=False)
+
+
+@when("the other job is cancelled after its write got no answer")
+def step_cancel_after(context: Context) -> None:
+    lose_answers(context)
+    cancel_other(context)
+
+
+@when("the other job is cancelled while its write is not answered")
+def step_cancel_during(context: Context) -> None:
+    cancel_other(context)
+    lose_answers(context)
+
+
+@then("the submission is answered as unknown")
+def step_submission_unknown(context: Context) -> None:
+    found = context.submission.get(timeout=0)
+    assert isinstance(found, JobOutcomeUnknown), found
+
+
+@then("the cancellation is being written on the condition that the job has no row")
+def step_cancellation_written(context: Context) -> None:
+    write = context.link.messages[-1]
+    assert isinstance(write, Transact), write
+    key = make_job_key(DATA_CENTRE, "g-2")
+    assert Condition(key, 0) in write.transaction.conditions, write
+    (put,) = write.transaction.puts
+    assert decode_record(put.value).state is JobState.CANCELLED, put
+
+
+@then("the cancellation is answered as accepted")
+def step_cancellation_accepted(context: Context) -> None:
+    found = context.cancellation.get(timeout=0)
+    assert found == JobAccepted("g-2"), found
+
+
+@when("the submission is stored late")
+def step_stored_late(context: Context) -> None:
+    # Its condition is that the job has no row, and the row has version 1 now.
+    late = Row(make_job_key(DATA_CENTRE, "g-2"), 1, encode_record(context.other))
+    context.manager.handle_table_events(context.rows.load((late,)), AT)
+
+
+@then('the other job\'s record has the state "{state}"')
+def step_other_record(context: Context, state: str) -> None:
+    assert context.rows.get("g-2").state == state, context.rows.get("g-2")
