Soak: cancel submissions that got no response

Change: half of the submissions of unknown outcome are cancelled instead of repeated. A start after the answer 410 is reported as UNASKED, without a time limit: a job that is stored later must never start. A job that is shown as cancelled after 410 has a cause now.

Measured: invariants.feature passes with three examples of the new invariant.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,10 @@
 # unless its result could be removed before.
 POLL_TIMEOUT_SECONDS = 15.0
 CANCEL_PROBABILITY = 0.15
+# Share of the submissions of unknown outcome that are cancelled instead of repeated.
+GIVE_UP_RATE = 0.5
+# Statuses of a submission that may be stored later.
+UNKNOWN_STATUSES = (NO_RESPONSE, 504)
 MEAN_PAUSE_SECONDS = 0.6
 
 
@@ -88,11 +92,11 @@
         shape = JobShape(job, self._draw_steps())
         self._events.put(shape)
         if not self._submit(shape):
+            self._cancel_unaccepted(job)
             return
         if self._random.random() < CANCEL_PROBABILITY:
             self._stop.wait(self._random.uniform(0.0, 1.5))
-            status, _ = self._call("DELETE", job)
-            self._events.put(Cancelled(job, status))
+            self._cancel(job)
         deadline = monotonic() + self._poll_seconds
         while monotonic() < deadline and not self._stop.is_set():
             if self.query_state(job) in ("done", "failed", "cancelled"):
@@ -124,9 +128,23 @@
             self._events.put(Submitted(shape, status))
             if status == 200:
                 return True
+            if status in UNKNOWN_STATUSES and self._random.random() < GIVE_UP_RATE:
+                return False
             self._stop.wait(RETRY_DELAY_SECONDS)
         return False
 
+    def _cancel_unaccepted(self, job: str) -> None:
+        """Cancel a job that may be stored later, until a daemon acknowledges it."""
+        for _ in range(SUBMIT_ATTEMPTS):
+            if self._cancel(job) in (200, 410):
+                return
+            self._stop.wait(RETRY_DELAY_SECONDS)
+
+    def _cancel(self, job: str) -> int:
+        status, _ = self._call("DELETE", job)
+        self._events.put(Cancelled(job, status, monotonic()))
+        return status
+
     def query_state(self, job: str) -> str:
         """Query a job's state at a random daemon; return an empty string on failure."""
         asked_at = monotonic()
--- a/soak/events.py
+++ b/soak/events.py
@@ -25,6 +25,7 @@
 
     job: str
     status: int
+    answered_at: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -17,6 +17,7 @@
 WORKER_ACCELERATORS = 8
 ENDED_STATES = ("done", "failed", "cancelled")
 STATUS_OK = 200
+STATUS_NOT_FOUND = 410
 # Statuses of a job that was not accepted and must never run.
 REFUSAL_STATUSES = (401, 404, 429, 503)
 ENDS = ("done", "failed", "stopped", "lapsed")
@@ -34,12 +35,18 @@
         Last state that a query returned.
     is_cancelled : bool
         Whether an attempt to cancel it may have taken effect.
+    not_found_at : float or None
+        When a caller that cancelled it was told that there is no such job.
+    last_start_at : float
+        When a worker started one of its tasks last; 0 before the first start.
     """
 
     shape: JobShape
     submit_statuses: Counter[int] = field(default_factory=Counter)
     last_state: str = ""
     is_cancelled: bool = False
+    not_found_at: float | None = None
+    last_start_at: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,9 +91,8 @@
             case Submitted(shape, status):
                 history = self.jobs.setdefault(shape.job, JobHistory(shape))
                 history.submit_statuses[status] += 1
-            case Cancelled(job, status):
-                # A cancellation without a response may have taken effect.
-                self.jobs[job].is_cancelled |= status in (0, 200, 504)
+            case Cancelled():
+                self._apply_cancellation(event)
             case StateSeen():
                 self._apply_state(event)
             case KeySeen():
@@ -101,6 +107,14 @@
                 for runs in self.running.values():
                     runs[:] = [run for run in runs if run.worker != worker]
 
+    def _apply_cancellation(self, event: Cancelled) -> None:
+        history = self.jobs[event.job]
+        # Without a response it may have taken effect. With 410 it cancels a job that is
+        # stored later.
+        history.is_cancelled |= event.status in (0, 200, 410, 504)
+        if event.status == STATUS_NOT_FOUND and history.not_found_at is None:
+            history.not_found_at = event.answered_at
+
     def _apply_state(self, event: StateSeen) -> None:
         history = self.jobs[event.job]
         if event.status == 410 and history.submit_statuses[STATUS_OK]:
@@ -137,6 +151,7 @@
         if history is None:
             self._report(f"UNASKED: {event.task} starts but was never submitted")
             return
+        history.last_start_at = max(history.last_start_at, event.at)
         for other in self.running.setdefault(event.task, []):
             self._report(f"TWICE: {event.task} starts as {run} beside {other}")
         if earlier := self.done_runs.get(event.task):
@@ -208,6 +223,9 @@
             if earlier & self.acknowledged_runs:
                 self._report(f"TWICE: {run} starts after it was done")
         for job, history in self.jobs.items():
+            cancelled_at = history.not_found_at
+            if cancelled_at is not None and history.last_start_at > cancelled_at:
+                self._report(f"UNASKED: {job} starts after a cancellation got 410")
             tasks = list_tasks(history.shape)
             is_refused = all(
                 status in REFUSAL_STATUSES for status in history.submit_statuses
--- a/tests/soak/invariants.feature
+++ b/tests/soak/invariants.feature
@@ -99,6 +99,21 @@
     When a query shows "cancelled" for "b"
     Then 2 violations are reported
 
+  # Guards against a job that starts after its caller was told that there is no such job,
+  # without being reported.
+  Scenario Outline: A start after a cancellation that was answered with 410 is reported
+    Given a job "a" of 1 step whose submissions got 504
+    When a caller cancels "a" and gets <status>
+    And "a.0.0.0" starts as run 1 on "w1" 0.1 s <when> that
+    And the soak test ends
+    Then <violations> violations are reported
+
+    Examples:
+      | status | when   | violations |
+      | 410    | after  | 1          |
+      | 410    | before | 0          |
+      | 200    | after  | 0          |
+
   # Guards against a false report for a daemon that reads a new key late. Seed 316 failed
   # because the check took the refusal before that for the removal of the key.
   Scenario: A daemon that has not read a new key yet may refuse it
--- a/tests/soak/invariants_steps.py
+++ b/tests/soak/invariants_steps.py
@@ -38,6 +38,14 @@
     checker_of(context).apply(RunSeen(0.0, "start", task, run, worker))
 
 
+@when('"{task}" starts as run {run:d} on "{worker}" {seconds:g} s {when} that')
+def step_start_at(
+    context: Context, task: str, run: int, worker: str, seconds: float, when: str
+) -> None:
+    at = 5.0 + (seconds if when == "after" else -seconds)
+    checker_of(context).apply(RunSeen(at, "start", task, run, worker))
+
+
 @when('"{task}" ends as "{what}" as run {run:d} on "{worker}"')
 def step_end(context: Context, task: str, what: str, run: int, worker: str) -> None:
     checker_of(context).apply(RunSeen(0.0, what, task, run, worker))
@@ -60,7 +68,7 @@
 
 @when('a caller cancels "{job}" and gets {status:d}')
 def step_cancel(context: Context, job: str, status: int) -> None:
-    checker_of(context).apply(Cancelled(job, status))
+    checker_of(context).apply(Cancelled(job, status, 5.0))
 
 
 @when('process {process:d} of "{name}" answers {status:d} to key {key:d}')
